--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/event/PlatformEvent.java
@@ -0,0 +1,74 @@
+package org.heatherhaven.core.event;
+
+import org.heatherhaven.core.model.Grant;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.PolicySnapshot;
+import org.heatherhaven.core.model.PolicyVersion;
+import org.heatherhaven.core.model.RightId;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Answers of the platform's object API. */
+public sealed interface PlatformEvent extends Event {
+
+    /**
+     * The object of a right was read or written.
+     *
+     * @param right the right
+     * @param grant content of the object
+     * @param objectVersion version for conditional updates
+     */
+    record GrantSeen(RightId right, Grant grant, long objectVersion) implements PlatformEvent {}
+
+    /**
+     * The object of a right does not exist.
+     *
+     * @param right the right
+     */
+    record GrantAbsent(RightId right) implements PlatformEvent {}
+
+    /**
+     * Nothing certain is known of a read or write: it failed, or its answer was lost.
+     *
+     * @param right the right
+     */
+    record GrantUnsettled(RightId right) implements PlatformEvent {}
+
+    /**
+     * Policy versions were read; proves that no newer one existed at the moment of asking.
+     *
+     * @param snapshot a whole policy to start from
+     * @param versions versions after it, in order
+     * @param askedAgoMillis time since the question was sent, milliseconds
+     */
+    record PolicyRead(Optional<PolicySnapshot> snapshot, List<PolicyVersion> versions, long askedAgoMillis)
+            implements PlatformEvent {}
+
+    /** Policy versions could not be read. */
+    record PolicyReadFailed() implements PlatformEvent {}
+
+    /** How the platform answered the creation of a policy version. */
+    enum CommitResult {
+        CREATED,
+        EXISTS,
+        UNSETTLED
+    }
+
+    /**
+     * The platform answered the creation of a policy version.
+     *
+     * @param version the version that was to be created
+     * @param result how it ended
+     * @param existing the version found in its place, with {@link CommitResult#EXISTS}
+     */
+    record PolicyWritten(PolicyVersion version, CommitResult result, Optional<PolicyVersion> existing)
+            implements PlatformEvent {}
+
+    /**
+     * Announced members were read, to join the fleet through them.
+     *
+     * @param members members in no special order
+     */
+    record MembersListed(List<Member> members) implements PlatformEvent {}
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/Hashes.java
@@ -0,0 +1,32 @@
+package org.heatherhaven.core.logic;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+
+import java.nio.charset.StandardCharsets;
+
+/** Stable hashes, equal on every node. */
+public final class Hashes {
+
+    private Hashes() {}
+
+    /**
+     * Hashes a text.
+     *
+     * @param text the text
+     * @return 64 well mixed bits
+     */
+    public static long of(String text) {
+        return MurmurHash3.hash128x64(text.getBytes(StandardCharsets.UTF_8))[0];
+    }
+
+    /**
+     * Hashes a text into one of several buckets.
+     *
+     * @param text the text
+     * @param buckets number of buckets
+     * @return a bucket from 0
+     */
+    public static int bucket(String text, int buckets) {
+        return (int) Long.remainderUnsigned(of(text), buckets);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
@@ -0,0 +1,358 @@
+package org.heatherhaven.core.logic.admission;
+
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.effect.Outbox;
+import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.event.TrafficEvent.TargetResult;
+import org.heatherhaven.core.logic.Hashes;
+import org.heatherhaven.core.logic.admission.Demand.ClassKey;
+import org.heatherhaven.core.model.CallHead;
+import org.heatherhaven.core.model.Reason;
+import org.heatherhaven.core.model.Refusal;
+import org.heatherhaven.core.model.Signal;
+import org.pcollections.PMap;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+
+/** Reducer of the calls at this node's target. */
+public final class GuardLogic {
+
+    /** Length of a measuring window. */
+    static final Duration WINDOW = Duration.ofMillis(100);
+
+    /** Time that calls in the queue should wait at most. */
+    static final Duration QUEUE_TARGET = Duration.ofMillis(100);
+
+    private static final int QUEUE_MIN = 8;
+    private static final int QUEUE_MAX = 512;
+    private static final double SMOOTHING = 0.1;
+    private static final double CAPACITY_SMOOTHING = 0.3;
+    private static final double SERVED_FADE = 0.9;
+    private static final double SERVED_FLOOR = 0.01;
+    private static final double BACK_OFF = 0.9;
+    private static final double LIMIT_STEP = 0.5;
+    private static final double LIMIT_MIN = 1;
+    private static final double FAILURE_PART = 0.1;
+
+    private GuardLogic() {}
+
+    /**
+     * Takes an offered call: runs it, queues it, or refuses it with proof that it did not run.
+     *
+     * @param state the state
+     * @param key names the offer
+     * @param head the call
+     * @param now current time
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static GuardState offered(GuardState state, OfferKey key, CallHead head, Instant now, Outbox out) {
+        Waiting call = new Waiting(
+                key,
+                head,
+                Waiting.cohortOf(head.rootId()),
+                now,
+                now.plusMillis(Math.max(0, head.remainingMillis())));
+        ClassKey classKey = classOf(head);
+        GuardState next = state.withDemand(state.demand().arrived(classKey));
+        if (!now.isBefore(state.refuseFrom())) {
+            return refuse(next, call, Reason.DRAINING, "the target is leaving", out);
+        }
+        if (!state.mode().limited()) {
+            return run(next, call, now, out);
+        }
+        if (state.running().size() < (int) state.limit() && state.queue().isEmpty()) {
+            return run(next, call, now, out);
+        }
+        next = next.withDemand(next.demand().full());
+        if (next.mode().sheds() && !call.nested() && call.cohort() >= next.keeps().keep(classKey)) {
+            return refuse(next, call, Reason.SHED_AT_TARGET, "the target sheds this cohort", out);
+        }
+        if (expectedWait(next).compareTo(Duration.between(now, call.deadline())) >= 0) {
+            return refuse(next, call, Reason.TOO_LATE, "it would wait past its deadline", out);
+        }
+        if (next.queue().size() >= queueCapacity(next)) {
+            return enqueueByEviction(next, call, out);
+        }
+        return next.withQueue(next.queue().plus(call));
+    }
+
+    private static GuardState enqueueByEviction(GuardState state, Waiting call, Outbox out) {
+        if (!state.mode().ordered()) {
+            return refuse(state, call, Reason.QUEUE_FULL, "the queue of the target is full", out);
+        }
+        Comparator<Waiting> order = order(state);
+        Waiting worst = state.queue().stream().max(order).orElse(call);
+        if (order.compare(call, worst) >= 0) {
+            return refuse(state, call, Reason.QUEUE_FULL, "the queue holds more important work", out);
+        }
+        GuardState next = refuse(state, worst, Reason.QUEUE_FULL, "more important work came", out);
+        return next.withQueue(next.queue().minus(worst).plus(call));
+    }
+
+    /**
+     * Takes the end of a call at the target.
+     *
+     * @param state the state
+     * @param key names the offer
+     * @param result how it ended
+     * @param now current time
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static GuardState ended(GuardState state, OfferKey key, TargetResult result, Instant now, Outbox out) {
+        Running done = state.running().get(key);
+        if (done == null) {
+            return state;
+        }
+        GuardState next = learn(remove(state, key, done), done, result, now);
+        Signal signal = signalFor(next, done);
+        switch (result) {
+            case ANSWERED -> out.add(new Effect.FinishOffer(key, true, signal));
+            case OVERLOADED -> out.add(new Effect.RefuseOffer(
+                    key, Refusal.unknown(Reason.TARGET_OVERLOADED, "the target said it is overloaded"), signal));
+            case NOT_SENT -> out.add(new Effect.RefuseOffer(
+                    key, Refusal.notRun(Reason.TARGET_FAILED, "the target took no connection"), signal));
+            case FAILED -> out.add(new Effect.FinishOffer(key, false, signal));
+            case ABORTED -> out.add(new Effect.RefuseOffer(
+                    key, Refusal.unknown(Reason.TIMEOUT, "the deadline passed while it ran"), signal));
+            default -> throw new IllegalArgumentException("result " + result);
+        }
+        return dispatch(next, now, out);
+    }
+
+    private static GuardState learn(GuardState state, Running done, TargetResult result, Instant now) {
+        boolean well = result == TargetResult.ANSWERED;
+        GuardState next = state.withDemand(
+                well ? state.demand().completed() : state.demand().failed());
+        if (!well) {
+            return next;
+        }
+        Duration took = Duration.between(done.startedAt(), now);
+        Duration old = state.serviceTime();
+        Duration smoothed = old.isZero()
+                ? took
+                : old.plusNanos((long) (SMOOTHING * took.minus(old).toNanos()));
+        return next.withServiceTime(smoothed).withLimit(Math.min(state.slots(), state.limit() + LIMIT_STEP));
+    }
+
+    /**
+     * Takes the caller's word that an answer is no longer wanted.
+     *
+     * @param state the state
+     * @param key names the offer
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static GuardState cancelled(GuardState state, OfferKey key, Outbox out) {
+        if (state.running().containsKey(key)) {
+            out.add(new Effect.AbortRun(key));
+            return state;
+        }
+        Optional<Waiting> waiting = state.queue().stream()
+                .filter(call -> call.key().equals(key))
+                .findFirst();
+        return waiting.map(call -> refuse(
+                        state.withQueue(state.queue().minus(call)), call, Reason.CALLER_GONE, "its caller left", out))
+                .orElse(state);
+    }
+
+    /**
+     * Drops all calls of a closed connection.
+     *
+     * @param state the state
+     * @param link number of the connection
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static GuardState linkClosed(GuardState state, long link, Outbox out) {
+        state.running().keySet().stream()
+                .filter(key -> key.link() == link)
+                .forEach(key -> out.add(new Effect.AbortRun(key)));
+        GuardState next = state;
+        for (Waiting call : state.queue()) {
+            if (call.key().link() == link) {
+                next = next.withQueue(next.queue().minus(call));
+            }
+        }
+        return next;
+    }
+
+    /**
+     * Lets time pass: expires waiting calls, and closes the measuring window.
+     *
+     * @param state the state
+     * @param now current time
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static GuardState tick(GuardState state, Instant now, Outbox out) {
+        GuardState next = state;
+        for (Waiting call : state.queue()) {
+            if (!now.isBefore(call.deadline())) {
+                next = refuse(
+                        next.withQueue(next.queue().minus(call)), call, Reason.TOO_LATE, "its deadline passed", out);
+            }
+        }
+        if (!now.isBefore(next.windowEndsAt())) {
+            next = closeWindow(next, now);
+        }
+        return dispatch(next, now, out);
+    }
+
+    private static GuardState closeWindow(GuardState state, Instant now) {
+        Demand demand = state.demand();
+        GuardState next = state;
+        int finished = demand.completions() + demand.failures();
+        if (demand.failures() > Math.max(1, finished * FAILURE_PART)) {
+            next = next.withLimit(Math.max(LIMIT_MIN, next.limit() * BACK_OFF));
+        }
+        next = next.withServed(fade(next));
+        if (!demand.saturated() || !next.mode().sheds()) {
+            return next.withWindow(next.capacity(), next.keeps().relaxed(), now.plus(WINDOW));
+        }
+        double capacity = next.capacity() == 0
+                ? demand.completions()
+                : next.capacity() + CAPACITY_SMOOTHING * (demand.completions() - next.capacity());
+        double room = capacity + Math.max(0, queueCapacity(next) / 2.0 - next.queue().size()) / 2;
+        KeepTable keeps = next.keeps().divided(demand.arrivals(), room);
+        return next.withWindow(capacity, keeps, now.plus(WINDOW));
+    }
+
+    private static PMap<String, Double> fade(GuardState state) {
+        PMap<String, Double> served = state.served();
+        for (Map.Entry<String, Double> entry : state.served().entrySet()) {
+            double left = entry.getValue() * SERVED_FADE;
+            served = left < SERVED_FLOOR ? served.minus(entry.getKey()) : served.plus(entry.getKey(), left);
+        }
+        return served;
+    }
+
+    private static GuardState dispatch(GuardState state, Instant now, Outbox out) {
+        GuardState next = state;
+        while (!next.queue().isEmpty() && next.running().size() < (int) Math.max(LIMIT_MIN, next.limit())) {
+            Waiting best = next.mode().ordered()
+                    ? next.queue().stream().min(order(next)).orElseThrow()
+                    : next.queue().get(0);
+            next = run(next.withQueue(next.queue().minus(best)), best, now, out);
+        }
+        return next;
+    }
+
+    private static GuardState run(GuardState state, Waiting call, Instant now, Outbox out) {
+        // The opening number makes the context unguessable enough only together with the link's; it is opaque.
+        String context = Long.toString(call.key().link(), Character.MAX_RADIX) + "-"
+                + Long.toString(call.key().stream(), Character.MAX_RADIX) + "-"
+                + Long.toUnsignedString(
+                        Hashes.of(call.head().requestId() + now), Character.MAX_RADIX);
+        Running running = new Running(call, context, now, call.head().retries(), Signal.COHORTS, 0);
+        out.add(new Effect.RunOffer(call.key(), context, Duration.between(now, call.deadline())));
+        String team = call.head().team();
+        return state.withRunning(state.running().plus(call.key(), running))
+                .withContexts(state.contexts().plus(context, call.key()))
+                .withServed(state.served().plus(team, state.served().getOrDefault(team, 0.0) + 1));
+    }
+
+    private static GuardState remove(GuardState state, OfferKey key, Running done) {
+        return state.withRunning(state.running().minus(key))
+                .withContexts(state.contexts().minus(done.context()));
+    }
+
+    private static GuardState refuse(GuardState state, Waiting call, Reason reason, String detail, Outbox out) {
+        Signal signal = new Signal(
+                keepOf(state, call.head()), state.load(), call.head().retries());
+        out.add(new Effect.RefuseOffer(call.key(), Refusal.notRun(reason, detail), signal));
+        return state;
+    }
+
+    private static Signal signalFor(GuardState state, Running done) {
+        int own = keepOf(state, done.call().head());
+        return new Signal(Math.min(own, done.keep()), state.load(), done.retries());
+    }
+
+    private static int keepOf(GuardState state, CallHead head) {
+        return state.mode().sheds() ? state.keeps().keep(classOf(head)) : Signal.COHORTS;
+    }
+
+    private static ClassKey classOf(CallHead head) {
+        return new ClassKey(head.importance(), head.team());
+    }
+
+    /** Importance first, then work already begun, then the team served least, then the same cohorts everywhere. */
+    private static Comparator<Waiting> order(GuardState state) {
+        return Comparator.comparingInt((Waiting call) -> call.head().importance().rank())
+                .thenComparing(call -> !call.nested())
+                .thenComparingDouble(call -> state.served().getOrDefault(call.head().team(), 0.0))
+                .thenComparingInt(Waiting::cohort)
+                .thenComparing(Waiting::arrivedAt);
+    }
+
+    private static Duration expectedWait(GuardState state) {
+        double rounds = (state.queue().size() + 1) / Math.max(LIMIT_MIN, state.limit());
+        return Duration.ofNanos((long) (state.serviceTime().toNanos() * (rounds + 1)));
+    }
+
+    private static int queueCapacity(GuardState state) {
+        if (state.serviceTime().isZero()) {
+            return QUEUE_MIN;
+        }
+        double perTarget = state.limit() * QUEUE_TARGET.toNanos() / state.serviceTime().toNanos();
+        return (int) Math.min(QUEUE_MAX, Math.max(QUEUE_MIN, perTarget));
+    }
+
+    /**
+     * Finds the call that a target works on, by the context it was given.
+     *
+     * @param state the state
+     * @param context context id
+     * @return the call, while it runs
+     */
+    public static Optional<Running> byContext(GuardState state, String context) {
+        return Optional.ofNullable(state.contexts().get(context))
+                .map(key -> state.running().get(key));
+    }
+
+    /**
+     * Hands part of a running call's retry budget to a call that it makes.
+     *
+     * @param state the state
+     * @param parent the running call
+     * @param retries the part handed down
+     * @return the new state
+     */
+    public static GuardState lendRetries(GuardState state, Running parent, int retries) {
+        Running lent = parent.withRetries(parent.retries() - retries).withChildren(parent.children() + 1);
+        return state.withRunning(state.running().plus(parent.call().key(), lent));
+    }
+
+    /**
+     * Takes back the unspent part of a retry budget, and the overload that a child call reported.
+     *
+     * @param state the state
+     * @param context context id of the parent
+     * @param retries the unspent part
+     * @param keep cohorts that the child can serve
+     * @return the new state, unchanged if the parent has ended
+     */
+    public static GuardState childEnded(GuardState state, String context, int retries, int keep) {
+        return byContext(state, context)
+                .map(parent -> parent.withRetries(parent.retries() + retries).withKeep(Math.min(parent.keep(), keep)))
+                .map(parent -> state.withRunning(state.running().plus(parent.call().key(), parent)))
+                .orElse(state);
+    }
+
+    /**
+     * Stops taking new calls after a grace that lets peers hear of it.
+     *
+     * @param state the state
+     * @param from when new calls are refused
+     * @return the new state
+     */
+    public static GuardState drain(GuardState state, Instant from) {
+        return state.withRefuseFrom(from);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardState.java
@@ -0,0 +1,145 @@
+package org.heatherhaven.core.logic.admission;
+
+import org.heatherhaven.core.event.OfferKey;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * The calls at this node's target.
+ *
+ * @param mode way of guarding
+ * @param slots number of calls that the target says it works on at a time
+ * @param limit number of calls that are handed to it at present
+ * @param running calls that it works on, by offer
+ * @param contexts offers by context id
+ * @param queue calls that wait
+ * @param served calls recently handed to the target, by team, fading
+ * @param serviceTime smoothed time that the target takes for a call
+ * @param capacity smoothed number of calls that it finishes in a window while saturated
+ * @param demand counts of the current window
+ * @param keeps what is shed at present
+ * @param windowEndsAt when the current window ends
+ * @param refuseFrom when new calls are refused because the node is leaving; far future if it is not
+ */
+public record GuardState(
+        AdmissionMode mode,
+        int slots,
+        double limit,
+        PMap<OfferKey, Running> running,
+        PMap<String, OfferKey> contexts,
+        PVector<Waiting> queue,
+        PMap<String, Double> served,
+        Duration serviceTime,
+        double capacity,
+        Demand demand,
+        KeepTable keeps,
+        Instant windowEndsAt,
+        Instant refuseFrom) {
+
+    /** Part of the slots that a cold target starts with. */
+    private static final double COLD_PART = 0.25;
+
+    private static final double SMALLEST_START = 2;
+
+    /**
+     * The state of a node whose target is idle.
+     *
+     * @param mode way of guarding
+     * @param slots number of calls that the target says it works on at a time
+     * @param now start of the node
+     * @return the state
+     */
+    public static GuardState start(AdmissionMode mode, int slots, Instant now) {
+        return new GuardState(
+                mode,
+                slots,
+                Math.min(slots, Math.max(SMALLEST_START, slots * COLD_PART)),
+                HashTreePMap.empty(),
+                HashTreePMap.empty(),
+                TreePVector.empty(),
+                HashTreePMap.empty(),
+                Duration.ZERO,
+                0,
+                Demand.NONE,
+                KeepTable.ALL,
+                now,
+                Instant.MAX);
+    }
+
+    /**
+     * Number of calls in work or waiting.
+     *
+     * @return calls
+     */
+    public int inFlight() {
+        return running.size() + queue.size();
+    }
+
+    /**
+     * Load as told upstream.
+     *
+     * @return thousandths of the limit
+     */
+    public int load() {
+        return limit <= 0 ? 0 : (int) (1_000 * inFlight() / limit);
+    }
+
+    GuardState withLimit(double next) {
+        return new GuardState(
+                mode, slots, next, running, contexts, queue, served, serviceTime, capacity, demand, keeps,
+                windowEndsAt, refuseFrom);
+    }
+
+    GuardState withRunning(PMap<OfferKey, Running> next) {
+        return new GuardState(
+                mode, slots, limit, next, contexts, queue, served, serviceTime, capacity, demand, keeps, windowEndsAt,
+                refuseFrom);
+    }
+
+    GuardState withContexts(PMap<String, OfferKey> next) {
+        return new GuardState(
+                mode, slots, limit, running, next, queue, served, serviceTime, capacity, demand, keeps, windowEndsAt,
+                refuseFrom);
+    }
+
+    GuardState withQueue(PVector<Waiting> next) {
+        return new GuardState(
+                mode, slots, limit, running, contexts, next, served, serviceTime, capacity, demand, keeps,
+                windowEndsAt, refuseFrom);
+    }
+
+    GuardState withServed(PMap<String, Double> next) {
+        return new GuardState(
+                mode, slots, limit, running, contexts, queue, next, serviceTime, capacity, demand, keeps, windowEndsAt,
+                refuseFrom);
+    }
+
+    GuardState withServiceTime(Duration next) {
+        return new GuardState(
+                mode, slots, limit, running, contexts, queue, served, next, capacity, demand, keeps, windowEndsAt,
+                refuseFrom);
+    }
+
+    GuardState withDemand(Demand next) {
+        return new GuardState(
+                mode, slots, limit, running, contexts, queue, served, serviceTime, capacity, next, keeps, windowEndsAt,
+                refuseFrom);
+    }
+
+    GuardState withWindow(double nextCapacity, KeepTable nextKeeps, Instant endsAt) {
+        return new GuardState(
+                mode, slots, limit, running, contexts, queue, served, serviceTime, nextCapacity, Demand.NONE,
+                nextKeeps, endsAt, refuseFrom);
+    }
+
+    GuardState withRefuseFrom(Instant at) {
+        return new GuardState(
+                mode, slots, limit, running, contexts, queue, served, serviceTime, capacity, demand, keeps,
+                windowEndsAt, at);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/call/package-info.java
@@ -0,0 +1,2 @@
+/** The way of a call through its entry node: key, team, tokens, permit, attempts, answer. */
+package org.heatherhaven.core.logic.call;
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
@@ -0,0 +1,389 @@
+package org.heatherhaven.core.logic.membership;
+
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.effect.Outbox;
+import org.heatherhaven.core.message.MembersPage;
+import org.heatherhaven.core.message.MembersPull;
+import org.heatherhaven.core.message.Probe;
+import org.heatherhaven.core.message.ProbeAck;
+import org.heatherhaven.core.message.ProbeRequest;
+import org.heatherhaven.core.message.Rumours;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.MemberStatus;
+import org.heatherhaven.core.model.NodeId;
+import org.pcollections.PMap;
+import org.pcollections.PVector;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/**
+ * Reducer of the membership.
+ *
+ * <p>A member is probed by the members before it in each ring. A probe without an answer is repeated through two
+ * others; then the member is suspected, which it can refute, and declared dead after a while.
+ */
+public final class MembershipLogic {
+
+    /** Time between two probes of one neighbour. */
+    public static final Duration PROBE_INTERVAL = Duration.ofSeconds(1);
+
+    /** Time between two probes while there are news to tell. */
+    static final Duration NEWS_INTERVAL = Duration.ofMillis(200);
+
+    private static final Duration RELAY_AFTER = Duration.ofMillis(500);
+    private static final Duration SUSPECT_AFTER = Duration.ofMillis(1_200);
+    private static final Duration DEAD_AFTER = Duration.ofSeconds(2);
+    private static final Duration REJOIN_INTERVAL = Duration.ofSeconds(5);
+    private static final Duration LIST_RETRY = Duration.ofSeconds(2);
+    private static final int RELAYS = 2;
+    private static final int MAX_NEWS_PER_MESSAGE = 8;
+    private static final int PAGE_MEMBERS = 256;
+
+    private MembershipLogic() {}
+
+    /**
+     * Lets time pass.
+     *
+     * @param state the state
+     * @param rumours what else travels with probes
+     * @param now current time
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static MembershipState tick(MembershipState state, Rumours rumours, Instant now, Outbox out) {
+        MembershipState next = expireSuspects(state, now, out);
+        next = checkPending(next, now, out);
+        if (!now.isBefore(next.nextProbeAt())) {
+            next = probeNeighbours(next, rumours, now, out);
+        }
+        if (!now.isBefore(next.nextRejoinAt())) {
+            next = rejoin(next, rumours, now, out);
+        }
+        return next;
+    }
+
+    private static MembershipState probeNeighbours(
+            MembershipState state, Rumours rumours, Instant now, Outbox out) {
+        MembershipState next = state;
+        if (state.neighboursStale()) {
+            next = next.withNeighbours(
+                    Rings.successors(state.self().id(), state.members().values()));
+        }
+        for (NodeId neighbour : next.neighbours()) {
+            next = probe(next, neighbour, rumours, now, out);
+        }
+        Duration interval = next.news().isEmpty() ? PROBE_INTERVAL : NEWS_INTERVAL;
+        return next.withNextProbeAt(now.plus(interval));
+    }
+
+    private static MembershipState probe(
+            MembershipState state, NodeId target, Rumours rumours, Instant now, Outbox out) {
+        long seq = state.nextSeq();
+        MembershipState told = countSend(state);
+        out.add(new Effect.Send(target, new Probe(state.self(), seq, withNews(state, rumours))));
+        boolean waiting = state.pending().values().stream()
+                .anyMatch(pending -> pending.target().equals(target));
+        PMap<Long, PendingProbe> pending =
+                waiting ? state.pending() : state.pending().plus(seq, new PendingProbe(target, now, false));
+        return told.withPending(pending, seq + 1);
+    }
+
+    private static MembershipState checkPending(MembershipState state, Instant now, Outbox out) {
+        MembershipState next = state;
+        for (Map.Entry<Long, PendingProbe> entry : state.pending().entrySet()) {
+            PendingProbe probe = entry.getValue();
+            Duration age = Duration.between(probe.sentAt(), now);
+            if (age.compareTo(SUSPECT_AFTER) >= 0) {
+                next = suspect(next.withPending(next.pending().minus(entry.getKey()), next.nextSeq()), probe, now);
+            } else if (!probe.relayed() && age.compareTo(RELAY_AFTER) >= 0) {
+                relay(next, probe, entry.getKey(), out);
+                PendingProbe relayed = new PendingProbe(probe.target(), probe.sentAt(), true);
+                next = next.withPending(next.pending().plus(entry.getKey(), relayed), next.nextSeq());
+            }
+        }
+        return next;
+    }
+
+    private static void relay(MembershipState state, PendingProbe probe, long seq, Outbox out) {
+        state.neighbours().stream()
+                .filter(id -> !id.equals(probe.target()))
+                .limit(RELAYS)
+                .forEach(id -> out.add(new Effect.Send(id, new ProbeRequest(state.self(), probe.target(), seq))));
+    }
+
+    private static MembershipState suspect(MembershipState state, PendingProbe probe, Instant now) {
+        Optional<Member> member = state.find(probe.target());
+        if (member.isEmpty()
+                || member.get().status().gone()
+                || member.get().status() == MemberStatus.SUSPECT) {
+            return state;
+        }
+        return learn(state, member.get().withStatus(MemberStatus.SUSPECT), now);
+    }
+
+    private static MembershipState expireSuspects(MembershipState state, Instant now, Outbox out) {
+        MembershipState next = state;
+        for (Map.Entry<NodeId, Instant> entry : state.suspects().entrySet()) {
+            if (now.isBefore(entry.getValue())) {
+                continue;
+            }
+            next = next.withSuspects(next.suspects().minus(entry.getKey()));
+            Optional<Member> member = next.find(entry.getKey());
+            if (member.isPresent() && member.get().status() == MemberStatus.SUSPECT) {
+                Member dead = member.get().withStatus(MemberStatus.DEAD);
+                next = learn(next, dead, now);
+                // Every node comes to this conclusion; only the few that probe the member clear up after it.
+                if (next.neighbours().contains(dead.id())) {
+                    out.add(new Effect.RemoveAnnouncement(dead.owner()));
+                }
+            }
+        }
+        return next;
+    }
+
+    /** Tries a dead member now and then, so that the halves of a healed cut find each other. */
+    private static MembershipState rejoin(MembershipState state, Rumours rumours, Instant now, Outbox out) {
+        List<Member> dead = state.members().values().stream()
+                .filter(member -> member.status() == MemberStatus.DEAD)
+                .toList();
+        boolean alone = state.members().size() - dead.size() <= 1;
+        if (alone) {
+            out.add(new Effect.ListMembers());
+        }
+        if (!dead.isEmpty()) {
+            int pick = new SplittableRandom(state.nextSeq()).nextInt(dead.size());
+            NodeId target = dead.get(pick).id();
+            out.add(new Effect.Send(target, new Probe(state.self(), state.nextSeq(), withNews(state, rumours))));
+        }
+        return state.withPending(state.pending(), state.nextSeq() + 1)
+                .withNextRejoinAt(now.plus(alone ? LIST_RETRY : REJOIN_INTERVAL));
+    }
+
+    /**
+     * Takes the members announced on the platform, and asks some of them for the whole table.
+     *
+     * @param state the state
+     * @param members what the platform listed
+     * @param now current time
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static MembershipState listed(MembershipState state, List<Member> members, Instant now, Outbox out) {
+        MembershipState next = state;
+        for (Member member : members) {
+            next = learn(next, member, now);
+        }
+        List<Member> others = members.stream()
+                .filter(member -> !member.id().equals(state.self().id()))
+                .toList();
+        Rings.rendezvous("join|" + state.self().id(), others, Rings.RINGS)
+                .forEach(seed -> out.add(new Effect.Send(seed.id(), new MembersPull(state.self(), ""))));
+        return next.withHeardAt(now);
+    }
+
+    /**
+     * Answers a member that joins.
+     *
+     * @param state the state
+     * @param pull the question
+     * @param now current time
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static MembershipState answerPull(MembershipState state, MembersPull pull, Instant now, Outbox out) {
+        MembershipState next = learn(state, pull.from(), now);
+        List<Member> page = new ArrayList<>();
+        boolean more = false;
+        for (Member member : next.members().tailMap(new NodeId(pull.after()), false).values()) {
+            if (page.size() == PAGE_MEMBERS) {
+                more = true;
+                break;
+            }
+            page.add(member);
+        }
+        out.add(new Effect.Send(pull.from().id(), new MembersPage(state.self().id(), page, more)));
+        return next;
+    }
+
+    /**
+     * Takes a page of another member's table.
+     *
+     * @param state the state
+     * @param page the page
+     * @param now current time
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static MembershipState page(MembershipState state, MembersPage page, Instant now, Outbox out) {
+        MembershipState next = state;
+        for (Member member : page.members()) {
+            next = learn(next, member, now);
+        }
+        if (page.more() && !page.members().isEmpty()) {
+            String last = page.members().get(page.members().size() - 1).id().value();
+            out.add(new Effect.Send(page.from(), new MembersPull(next.self(), last)));
+        }
+        return next;
+    }
+
+    /**
+     * Answers a probe.
+     *
+     * @param state the state
+     * @param probe the probe
+     * @param rumours what else travels with the answer
+     * @param now current time
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static MembershipState probed(
+            MembershipState state, Probe probe, Rumours rumours, Instant now, Outbox out) {
+        MembershipState next = hear(state, probe.from(), probe.rumours(), now);
+        // A prober that this node holds for dead must learn so, or it could not refute it.
+        Optional<Member> account = state.find(probe.from().id())
+                .filter(known -> known.supersedes(probe.from()));
+        Rumours news = withNews(next, rumours);
+        if (account.isPresent()) {
+            List<Member> members = new ArrayList<>(news.members());
+            members.add(account.get());
+            news = new Rumours(members, news.policyVersion(), news.confirmedAgoMillis());
+        }
+        out.add(new Effect.Send(probe.replyTo(), new ProbeAck(next.self(), probe.seq(), news)));
+        return countSend(next);
+    }
+
+    /**
+     * Probes a member on behalf of another; the answer goes to the asker.
+     *
+     * @param state the state
+     * @param request the question
+     * @param rumours what else travels with the probe
+     * @param out takes the effects
+     */
+    public static void relayed(MembershipState state, ProbeRequest request, Rumours rumours, Outbox out) {
+        Rumours plain = new Rumours(List.of(), rumours.policyVersion(), rumours.confirmedAgoMillis());
+        out.add(new Effect.Send(request.target(), new Probe(request.from(), request.seq(), plain)));
+    }
+
+    /**
+     * Takes the answer to a probe.
+     *
+     * @param state the state
+     * @param ack the answer
+     * @param now current time
+     * @return the new state
+     */
+    public static MembershipState acknowledged(MembershipState state, ProbeAck ack, Instant now) {
+        MembershipState next = hear(state, ack.from(), ack.rumours(), now);
+        PMap<Long, PendingProbe> pending = next.pending();
+        for (Map.Entry<Long, PendingProbe> entry : next.pending().entrySet()) {
+            if (entry.getValue().target().equals(ack.from().id())) {
+                pending = pending.minus(entry.getKey());
+            }
+        }
+        return next.withPending(pending, next.nextSeq());
+    }
+
+    /**
+     * When a probe was sent, so that ages in its answer can be counted from a safe moment.
+     *
+     * @param state the state
+     * @param ack the answer
+     * @return the moment, if the probe still waits
+     */
+    public static Optional<Instant> sentAt(MembershipState state, ProbeAck ack) {
+        return Optional.ofNullable(state.pending().get(ack.seq())).map(PendingProbe::sentAt);
+    }
+
+    private static MembershipState hear(MembershipState state, Member from, Rumours rumours, Instant now) {
+        MembershipState next = learn(state, from, now).withHeardAt(now);
+        for (Member member : rumours.members()) {
+            next = learn(next, member, now);
+        }
+        return next;
+    }
+
+    /**
+     * Changes this node's own status and tells it at once.
+     *
+     * @param state the state
+     * @param status the new status
+     * @param rumours what else travels with the probes
+     * @param now current time
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static MembershipState announceSelf(
+            MembershipState state, MemberStatus status, Rumours rumours, Instant now, Outbox out) {
+        Member self = state.self().refuted(state.self().refutation() + 1, status);
+        return probeNeighbours(addNews(state.withMember(self), self), rumours, now, out);
+    }
+
+    static MembershipState learn(MembershipState state, Member account, Instant now) {
+        if (account.id().equals(state.self().id())) {
+            return aboutSelf(state, account);
+        }
+        Optional<Member> known = state.find(account.id());
+        if (known.isPresent() && !account.supersedes(known.get())) {
+            return state;
+        }
+        MembershipState next = addNews(state.withMember(account), account);
+        if (account.status() == MemberStatus.SUSPECT) {
+            return next.withSuspects(next.suspects().plus(account.id(), now.plus(DEAD_AFTER)));
+        }
+        return next;
+    }
+
+    private static MembershipState aboutSelf(MembershipState state, Member account) {
+        Member self = state.self();
+        if (account.epoch() != self.epoch() || !account.supersedes(self)) {
+            return state;
+        }
+        Member refuted = self.refuted(account.refutation() + 1, self.status());
+        return addNews(state.withMember(refuted), refuted);
+    }
+
+    private static MembershipState addNews(MembershipState state, Member member) {
+        PVector<News> news = state.news();
+        for (int i = 0; i < news.size(); i++) {
+            if (news.get(i).member().id().equals(member.id())) {
+                news = news.minus(i);
+                break;
+            }
+        }
+        int fleetBits = Integer.SIZE - Integer.numberOfLeadingZeros(state.members().size());
+        // Twice the number of doublings, with a factor for the messages a node sends in one round.
+        return state.withNews(news.plus(new News(member, 2 * fleetBits + Rings.RINGS)));
+    }
+
+    private static Rumours withNews(MembershipState state, Rumours rumours) {
+        List<Member> members = state.news().stream()
+                .limit(MAX_NEWS_PER_MESSAGE)
+                .map(News::member)
+                .toList();
+        return new Rumours(members, rumours.policyVersion(), rumours.confirmedAgoMillis());
+    }
+
+    private static MembershipState countSend(MembershipState state) {
+        PVector<News> news = state.news();
+        int sent = Math.min(MAX_NEWS_PER_MESSAGE, news.size());
+        if (sent == 0) {
+            return state;
+        }
+        List<News> again = new ArrayList<>();
+        for (int i = 0; i < sent; i++) {
+            News told = news.get(i);
+            if (told.sends() > 1) {
+                again.add(new News(told.member(), told.sends() - 1));
+            }
+        }
+        // Told news go behind the untold, so that a flood of changes is told in turn.
+        return state.withNews(news.minusAll(news.subList(0, sent)).plusAll(again));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/News.java
@@ -0,0 +1,11 @@
+package org.heatherhaven.core.logic.membership;
+
+import org.heatherhaven.core.model.Member;
+
+/**
+ * A change of a member that still has to be told.
+ *
+ * @param member the member
+ * @param sends how many more messages shall carry it
+ */
+record News(Member member, int sends) {}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/PendingProbe.java
@@ -0,0 +1,14 @@
+package org.heatherhaven.core.logic.membership;
+
+import org.heatherhaven.core.model.NodeId;
+
+import java.time.Instant;
+
+/**
+ * A probe without an answer so far.
+ *
+ * @param target the probed member
+ * @param sentAt when it was sent
+ * @param relayed true once other members were asked to probe
+ */
+record PendingProbe(NodeId target, Instant sentAt, boolean relayed) {}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -0,0 +1,170 @@
+package org.heatherhaven.core.logic.node;
+
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.logic.admission.GuardLogic;
+import org.heatherhaven.core.logic.call.CallInfo;
+import org.heatherhaven.core.logic.call.EntryCall;
+import org.heatherhaven.core.logic.pressure.PressureState.Source;
+import org.heatherhaven.core.logic.quota.Borrowing;
+import org.heatherhaven.core.logic.routing.RoutingLogic;
+import org.heatherhaven.core.model.CallHead;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Outcome;
+import org.heatherhaven.core.model.Reason;
+import org.heatherhaven.core.model.Refusal;
+import org.heatherhaven.core.model.Signal;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/** Sends a call to targets, one attempt after another, within its retry budget. */
+final class Attempts {
+
+    private Attempts() {}
+
+    static void send(Step step, EntryCall call) {
+        CallInfo info = call.info();
+        Optional<NodeId> target = RoutingLogic.choose(
+                step.routing,
+                step.rules.routing(),
+                step.fleet,
+                info.route().service(),
+                call.tried(),
+                step.random(),
+                step.now);
+        if (target.isEmpty()) {
+            refuse(step, call, Refusal.notRun(Reason.NO_TARGET, "no target of " + info.route().service() + " is left"));
+            return;
+        }
+        int lent = step.rules.retry().handDown(call.retries());
+        EntryCall sent = call.sent(target.get(), lent);
+        step.calls = step.calls.with(sent);
+        if (sent.attempt() == 1) {
+            step.calls = step.calls.withRatio(step.calls.ratio().called(info.route().service()));
+        }
+        step.routing = RoutingLogic.sent(step.routing, target.get(), step.now);
+        step.out.add(new Effect.ForwardCall(info.call(), sent.attempt(), target.get(), head(step, sent)));
+    }
+
+    private static CallHead head(Step step, EntryCall call) {
+        CallInfo info = call.info();
+        return new CallHead(
+                info.requestId(),
+                info.rootId(),
+                info.request().method(),
+                info.request().path(),
+                info.request().headers(),
+                info.route().service(),
+                info.route().name(),
+                info.team(),
+                info.importance(),
+                info.depth(),
+                Duration.between(step.now, info.deadline()).toMillis(),
+                call.lent(),
+                info.unrepeatable(),
+                info.policyVersion());
+    }
+
+    /** The target's node refused: try another target if the budget, the deadline and the outcome allow it. */
+    static void refused(Step step, EntryCall call, Refusal refusal, Signal signal) {
+        NodeId target = call.target().orElseThrow();
+        boolean targetFailed =
+                refusal.reason() == Reason.TARGET_FAILED || refusal.reason() == Reason.TARGET_OVERLOADED;
+        step.routing = targetFailed
+                ? RoutingLogic.failed(step.routing, target, step.now)
+                : RoutingLogic.returned(step.routing, target, signal.load(), step.now);
+        EntryCall back = hear(step, call, signal);
+        retryOr(step, back, refusal);
+    }
+
+    /** An attempt ended without an answer. */
+    static void lost(Step step, EntryCall call, Outcome outcome) {
+        step.routing = RoutingLogic.failed(step.routing, call.target().orElseThrow(), step.now);
+        EntryCall back = call.cameBack(outcome == Outcome.NOT_RUN ? call.lent() : 0, Signal.COHORTS);
+        Refusal refusal = outcome == Outcome.NOT_RUN
+                ? Refusal.notRun(Reason.LINK_LOST, "the node of the target could not be reached")
+                : Refusal.unknown(Reason.LINK_LOST, "the connection to the target's node broke");
+        retryOr(step, back, refusal);
+    }
+
+    private static EntryCall hear(Step step, EntryCall call, Signal signal) {
+        CallInfo info = call.info();
+        Source source = new Source(info.route().name(), info.team(), info.importance());
+        step.pressure = step.pressure.heard(source, signal.keep(), step.now);
+        EntryCall back = call.cameBack(signal.retriesLeft(), signal.keep());
+        step.calls = step.calls.with(back);
+        return back;
+    }
+
+    private static void retryOr(Step step, EntryCall call, Refusal refusal) {
+        CallInfo info = call.info();
+        String service = info.route().service();
+        boolean harmless = refusal.outcome() == Outcome.NOT_RUN || !info.unrepeatable();
+        boolean sensible = harmless && refusal.reason().retryable() && step.now.isBefore(info.deadline());
+        boolean budgeted = step.rules.retry().allows(call.attempt(), call.retries());
+        if (!sensible || !budgeted || !step.calls.ratio().allows(service)) {
+            refuse(step, call, refusal);
+            return;
+        }
+        step.note(
+                info.requestId(),
+                "retry",
+                "attempt " + call.attempt() + " ended with " + refusal.reason().label() + ", " + call.retries()
+                        + " retries left",
+                "retry");
+        step.calls = step.calls.withRatio(step.calls.ratio().retried(service));
+        step.out.add(new Effect.CountRetry(refusal.reason()));
+        send(step, call.paidForRetry());
+    }
+
+    /** An answer was passed on, or broke off on the way. */
+    static void ended(Step step, EntryCall call, boolean whole, Signal signal) {
+        NodeId target = call.target().orElseThrow();
+        step.routing = whole
+                ? RoutingLogic.succeeded(step.routing, target, signal.load(), step.now)
+                : RoutingLogic.failed(step.routing, target, step.now);
+        EntryCall back = hear(step, call, signal);
+        Permits.report(step, back, whole ? Outcome.RUN : Outcome.UNKNOWN);
+        step.note(
+                call.info().requestId(),
+                "answer",
+                call.attempt() + " attempts, " + Duration.between(call.info().arrivedAt(), step.now).toMillis()
+                        + " ms, target " + target,
+                whole ? "run" : "broken off");
+        finish(step, back);
+    }
+
+    /** Ends a call with a refusal. */
+    static void refuse(Step step, EntryCall call, Refusal refusal) {
+        CallInfo info = call.info();
+        Permits.report(step, call, refusal.outcome());
+        step.note(
+                info.requestId(),
+                "refuse " + info.route().name(),
+                refusal.detail() + "; team " + info.team() + ", " + info.importance() + ", attempt " + call.attempt(),
+                refusal.reason().label() + " " + refusal.outcome().label());
+        step.out.add(new Effect.RefuseCall(info.call(), info.requestId(), info.policyVersion(), refusal));
+        finish(step, call);
+    }
+
+    /** Ends a call that nobody waits for any more. */
+    static void abandon(Step step, EntryCall call, Reason reason) {
+        if (call.stage() == EntryCall.Stage.ANSWER) {
+            step.out.add(new Effect.CancelAttempt(call.info().call(), call.attempt()));
+            call.target()
+                    .ifPresent(target -> step.routing =
+                            RoutingLogic.returned(step.routing, target, 0, step.now));
+        }
+        step.quota = Borrowing.gone(step.quota, call.info().team(), call.info().call());
+        Outcome outcome = CallFlow.outcomeWhenAbandoned(call);
+        refuse(step, call, new Refusal(reason, outcome, Duration.ZERO, "nobody waits for the answer"));
+    }
+
+    private static void finish(Step step, EntryCall call) {
+        step.calls = step.calls.without(call.info().call());
+        call.info()
+                .parent()
+                .ifPresent(parent ->
+                        step.guard = GuardLogic.childEnded(step.guard, parent, call.retries(), call.keep()));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
@@ -0,0 +1,180 @@
+package org.heatherhaven.core.logic.node;
+
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.event.ControlEvent;
+import org.heatherhaven.core.event.ControlEvent.DrainAsked;
+import org.heatherhaven.core.event.ControlEvent.LinksClosed;
+import org.heatherhaven.core.event.ControlEvent.PatchSubmitted;
+import org.heatherhaven.core.event.ControlEvent.PeerSaid;
+import org.heatherhaven.core.event.Event;
+import org.heatherhaven.core.event.PlatformEvent;
+import org.heatherhaven.core.event.PlatformEvent.GrantAbsent;
+import org.heatherhaven.core.event.PlatformEvent.GrantSeen;
+import org.heatherhaven.core.event.PlatformEvent.GrantUnsettled;
+import org.heatherhaven.core.event.PlatformEvent.MembersListed;
+import org.heatherhaven.core.event.PlatformEvent.PolicyRead;
+import org.heatherhaven.core.event.PlatformEvent.PolicyWritten;
+import org.heatherhaven.core.event.TrafficEvent;
+import org.heatherhaven.core.event.TrafficEvent.AttemptEnded;
+import org.heatherhaven.core.event.TrafficEvent.AttemptLost;
+import org.heatherhaven.core.event.TrafficEvent.AttemptRefused;
+import org.heatherhaven.core.event.TrafficEvent.CallArrived;
+import org.heatherhaven.core.event.TrafficEvent.CallerGone;
+import org.heatherhaven.core.event.TrafficEvent.LinkClosed;
+import org.heatherhaven.core.event.TrafficEvent.OfferArrived;
+import org.heatherhaven.core.event.TrafficEvent.OfferCancelled;
+import org.heatherhaven.core.event.TrafficEvent.TargetEnded;
+import org.heatherhaven.core.logic.admission.GuardLogic;
+import org.heatherhaven.core.logic.admission.Running;
+import org.heatherhaven.core.logic.membership.MembershipLogic;
+import org.heatherhaven.core.logic.policy.PolicyLogic;
+import org.heatherhaven.core.logic.policy.PolicyState;
+import org.heatherhaven.core.logic.rights.RightsLogic;
+import org.heatherhaven.core.model.MemberStatus;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+
+/**
+ * The reducer of a node: from a state and an event to the next state and what shall be done.
+ *
+ * <p>It is deterministic: the same events at the same times give the same effects.
+ */
+public final class NodeReducer {
+
+    /** A longer silence between two steps means that the process was paused. */
+    public static final Duration PAUSE_LIMIT = Duration.ofMillis(1_500);
+
+    private NodeReducer() {}
+
+    /**
+     * What a step leads to.
+     *
+     * @param state the next state
+     * @param effects what shall be done, in order
+     */
+    public record Result(NodeState state, List<Effect> effects) {}
+
+    /**
+     * Works on one event.
+     *
+     * @param state the state
+     * @param event what happened
+     * @param now current time, never before that of the last step
+     * @return the next state and the effects
+     */
+    public static Result reduce(NodeState state, Event event, Instant now) {
+        Step step = new Step(state, now);
+        noticePause(step, state);
+        long versionBefore = step.policy.policy().version();
+        if (event instanceof TrafficEvent traffic) {
+            onTraffic(step, traffic);
+        } else if (event instanceof PlatformEvent platform) {
+            onPlatform(step, platform);
+        } else if (event instanceof ControlEvent control) {
+            onControl(step, control);
+        }
+        CallFlow.afterQuota(step);
+        if (step.policy.policy().version() != versionBefore) {
+            Spreading.policyAdvanced(step, state.policy(), versionBefore);
+        }
+        return new Result(step.finish(), step.out.effects());
+    }
+
+    /** What lies in connections opened before a pause may be too old to act on, so all of them are closed. */
+    private static void noticePause(Step step, NodeState state) {
+        Duration silence = Duration.between(state.steppedAt(), step.now);
+        if (state.steps() > 0 && silence.compareTo(PAUSE_LIMIT) > 0 && !step.thawing) {
+            step.thawing = true;
+            step.note("node", "pause", "no step for " + silence.toMillis() + " ms", "close connections");
+            step.out.add(new Effect.CloseLinks());
+        }
+    }
+
+    private static void onTraffic(Step step, TrafficEvent event) {
+        if (event instanceof CallArrived arrived) {
+            CallFlow.arrived(step, arrived);
+        } else if (event instanceof AttemptRefused refused) {
+            CallFlow.refused(step, refused);
+        } else if (event instanceof AttemptLost lost) {
+            CallFlow.lost(step, lost);
+        } else if (event instanceof AttemptEnded ended) {
+            CallFlow.ended(step, ended);
+        } else if (event instanceof CallerGone gone) {
+            CallFlow.gone(step, gone.call());
+        } else if (event instanceof OfferArrived offer) {
+            onOffer(step, offer);
+        } else if (event instanceof OfferCancelled cancelled) {
+            step.guard = GuardLogic.cancelled(step.guard, cancelled.key(), step.out);
+        } else if (event instanceof LinkClosed closed) {
+            step.guard = GuardLogic.linkClosed(step.guard, closed.link(), step.out);
+        } else if (event instanceof TargetEnded ended) {
+            onTargetEnded(step, ended);
+        }
+    }
+
+    private static void onOffer(Step step, OfferArrived offer) {
+        if (step.thawing || offer.key().link() < step.linkFloor) {
+            return;
+        }
+        step.guard = GuardLogic.offered(step.guard, offer.key(), offer.head(), step.now, step.out);
+    }
+
+    private static void onTargetEnded(Step step, TargetEnded ended) {
+        Running done = step.guard.running().get(ended.key());
+        step.guard = GuardLogic.ended(step.guard, ended.key(), ended.result(), step.now, step.out);
+        if (done != null && done.children() > 0) {
+            CallFlow.contextEnded(step, done.context());
+        }
+    }
+
+    private static void onPlatform(Step step, PlatformEvent event) {
+        if (event instanceof GrantSeen seen) {
+            step.rights = RightsLogic.seen(step.rights, seen, step.fleet, step.now, step.out);
+            HandOvers.settle(step, seen.right());
+        } else if (event instanceof GrantAbsent absent) {
+            step.rights = RightsLogic.absent(step.rights, absent.right(), step.fleet, step.out);
+        } else if (event instanceof GrantUnsettled unsettled) {
+            step.rights = RightsLogic.unsettled(step.rights, unsettled.right(), step.now);
+        } else if (event instanceof PolicyRead read) {
+            step.policy = PolicyLogic.read(step.policy, read, step.now, step.out);
+        } else if (event instanceof PlatformEvent.PolicyReadFailed) {
+            step.policy = PolicyLogic.readFailed(step.policy, step.now);
+        } else if (event instanceof PolicyWritten written) {
+            step.policy = PolicyLogic.written(step.policy, written, step.now, step.out);
+        } else if (event instanceof MembersListed listed) {
+            step.fleet = MembershipLogic.listed(step.fleet, listed.members(), step.now, step.out);
+        }
+    }
+
+    private static void onControl(Step step, ControlEvent event) {
+        if (event instanceof ControlEvent.Tick) {
+            onTick(step);
+        } else if (event instanceof PeerSaid said) {
+            PeerTalk.heard(step, said.message());
+        } else if (event instanceof PatchSubmitted submitted) {
+            step.policy = PolicyLogic.submit(step.policy, submitted.patch(), step.now, step.out);
+        } else if (event instanceof LinksClosed closed) {
+            step.linkFloor = Math.max(step.linkFloor, closed.floor());
+            step.thawing = false;
+        } else if (event instanceof DrainAsked) {
+            Draining.begin(step);
+        }
+    }
+
+    private static void onTick(Step step) {
+        step.fleet = MembershipLogic.tick(step.fleet, step.rumours(), step.now, step.out);
+        Spreading.review(step);
+        PolicyState policy = PolicyLogic.tick(step.policy, step.duties.watcher(), step.now, step.out);
+        step.policy = policy;
+        step.rights = RightsLogic.tick(step.rights, step.fleet, step.now, step.out);
+        Spreading.tickHoldings(step);
+        step.pressure = step.pressure.prune(step.now);
+        step.guard = GuardLogic.tick(step.guard, step.now, step.out);
+        CallFlow.tick(step);
+        if (step.fleet.self().status() == MemberStatus.DRAINING) {
+            Draining.tick(step);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
@@ -0,0 +1,88 @@
+package org.heatherhaven.core.logic.node;
+
+import org.heatherhaven.core.logic.admission.GuardState;
+import org.heatherhaven.core.logic.call.CallsState;
+import org.heatherhaven.core.logic.membership.MembershipState;
+import org.heatherhaven.core.logic.once.OnceState;
+import org.heatherhaven.core.logic.policy.PolicyState;
+import org.heatherhaven.core.logic.pressure.PressureState;
+import org.heatherhaven.core.logic.quota.QuotaState;
+import org.heatherhaven.core.logic.rights.RightsState;
+import org.heatherhaven.core.logic.routing.RoutingState;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.RightId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+import java.time.Instant;
+import java.util.Optional;
+
+/**
+ * All that a node knows.
+ *
+ * @param rules settings of its decisions
+ * @param policy the policy in force
+ * @param fleet the members
+ * @param routing figures of targets
+ * @param pressure overload behind routes
+ * @param guard calls at the node's own target
+ * @param calls calls that entered here
+ * @param rights exclusive rights
+ * @param quota tokens lent and borrowed
+ * @param once idempotency ledgers
+ * @param incoming hand-overs that are arriving
+ * @param drainingSince when the drain began
+ * @param steppedAt time of the last step
+ * @param linkFloor offers of connections with lower numbers are void
+ * @param thawing true from the end of a pause until old connections are closed
+ * @param duties tasks that this node does for its zone
+ * @param steps number of steps so far
+ */
+public record NodeState(
+        NodeRules rules,
+        PolicyState policy,
+        MembershipState fleet,
+        RoutingState routing,
+        PressureState pressure,
+        GuardState guard,
+        CallsState calls,
+        RightsState rights,
+        QuotaState quota,
+        OnceState once,
+        PMap<RightId, Incoming> incoming,
+        Optional<Instant> drainingSince,
+        Instant steppedAt,
+        long linkFloor,
+        boolean thawing,
+        Duties duties,
+        long steps) {
+
+    /**
+     * The state of a node that has just started.
+     *
+     * @param rules settings of its decisions
+     * @param self its own account of itself
+     * @param now start of the node
+     * @return the state
+     */
+    public static NodeState start(NodeRules rules, Member self, Instant now) {
+        return new NodeState(
+                rules,
+                PolicyState.start(now),
+                MembershipState.start(self, now),
+                RoutingState.EMPTY,
+                PressureState.EMPTY,
+                GuardState.start(rules.admission(), self.slots(), now),
+                CallsState.EMPTY,
+                RightsState.start(self.owner(), now),
+                QuotaState.start(now),
+                OnceState.EMPTY,
+                HashTreePMap.empty(),
+                Optional.empty(),
+                now,
+                0,
+                false,
+                new Duties(false, now),
+                0);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
@@ -0,0 +1,135 @@
+package org.heatherhaven.core.logic.node;
+
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.logic.membership.MembershipLogic;
+import org.heatherhaven.core.logic.once.OnceLogic;
+import org.heatherhaven.core.logic.policy.PolicyLogic;
+import org.heatherhaven.core.logic.quota.Borrowing;
+import org.heatherhaven.core.logic.quota.Lending;
+import org.heatherhaven.core.logic.rights.RightsLogic;
+import org.heatherhaven.core.message.HandOver;
+import org.heatherhaven.core.message.LoanAsk;
+import org.heatherhaven.core.message.LoanGrant;
+import org.heatherhaven.core.message.MembersPage;
+import org.heatherhaven.core.message.MembersPull;
+import org.heatherhaven.core.message.PeerMessage;
+import org.heatherhaven.core.message.PermitAnswer;
+import org.heatherhaven.core.message.PermitAsk;
+import org.heatherhaven.core.message.PermitReport;
+import org.heatherhaven.core.message.PolicyPage;
+import org.heatherhaven.core.message.PolicyPull;
+import org.heatherhaven.core.message.Probe;
+import org.heatherhaven.core.message.ProbeAck;
+import org.heatherhaven.core.message.ProbeRequest;
+import org.heatherhaven.core.message.PromiseAsk;
+import org.heatherhaven.core.message.PromiseGive;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.RightId;
+import org.heatherhaven.core.model.Team;
+
+import java.time.Instant;
+import java.util.Optional;
+
+/** Hands messages of peers to the parts that they concern. */
+final class PeerTalk {
+
+    private PeerTalk() {}
+
+    static void heard(Step step, PeerMessage message) {
+        if (message instanceof Probe probe) {
+            onProbe(step, probe);
+        } else if (message instanceof ProbeAck ack) {
+            onProbeAck(step, ack);
+        } else if (message instanceof ProbeRequest request) {
+            MembershipLogic.relayed(step.fleet, request, step.rumours(), step.out);
+        } else if (message instanceof MembersPull pull) {
+            step.fleet = MembershipLogic.answerPull(step.fleet, pull, step.now, step.out);
+        } else if (message instanceof MembersPage page) {
+            step.fleet = MembershipLogic.page(step.fleet, page, step.now, step.out);
+        } else if (message instanceof PolicyPull pull) {
+            PolicyLogic.answerPull(step.policy, pull, step.out);
+        } else if (message instanceof PolicyPage page) {
+            step.policy = PolicyLogic.page(step.policy, page, step.out);
+        } else {
+            onRights(step, message);
+        }
+    }
+
+    private static void onProbe(Step step, Probe probe) {
+        step.fleet = MembershipLogic.probed(step.fleet, probe, step.rumours(), step.now, step.out);
+        step.policy = PolicyLogic.heard(
+                step.policy,
+                step.self(),
+                probe.replyTo(),
+                probe.rumours().policyVersion(),
+                Optional.empty(),
+                step.now,
+                step.out);
+    }
+
+    private static void onProbeAck(Step step, ProbeAck ack) {
+        // The answer was written after the probe was sent, so its age is safe when counted from there.
+        Optional<Instant> confirmed = MembershipLogic.sentAt(step.fleet, ack)
+                .map(sent -> sent.minusMillis(ack.rumours().confirmedAgoMillis()));
+        step.fleet = MembershipLogic.acknowledged(step.fleet, ack, step.now);
+        step.policy = PolicyLogic.heard(
+                step.policy,
+                step.self(),
+                ack.from().id(),
+                ack.rumours().policyVersion(),
+                confirmed,
+                step.now,
+                step.out);
+    }
+
+    private static void onRights(Step step, PeerMessage message) {
+        if (message instanceof PromiseAsk ask) {
+            step.rights = RightsLogic.asked(step.rights, ask, step.now, step.out);
+        } else if (message instanceof PromiseGive give) {
+            step.rights = RightsLogic.promised(step.rights, give);
+        } else if (message instanceof HandOver page) {
+            HandOvers.received(step, page);
+        } else if (message instanceof LoanAsk ask) {
+            onLoanAsk(step, ask);
+        } else if (message instanceof LoanGrant grant) {
+            onLoanGrant(step, grant);
+        } else if (message instanceof PermitAsk ask) {
+            seekIfUnusable(step, ask.right());
+            step.once = OnceLogic.asked(
+                    step.once, step.rights, step.rules.ledger(), ask, whereElse(step, ask.right()), step.now, step.out);
+        } else if (message instanceof PermitAnswer answer) {
+            Permits.answered(step, answer);
+        } else if (message instanceof PermitReport report) {
+            step.once = OnceLogic.reported(step.once, report);
+        }
+    }
+
+    private static void onLoanAsk(Step step, LoanAsk ask) {
+        seekIfUnusable(step, ask.right());
+        Optional<Team> team = Optional.ofNullable(
+                step.policy.policy().teams().get(ask.right().name()));
+        step.quota = Lending.asked(
+                step.quota, step.rights, team, ask, whereElse(step, ask.right()), step.now, step.out);
+    }
+
+    private static void onLoanGrant(Step step, LoanGrant grant) {
+        if (!grant.held()) {
+            step.rights = RightsLogic.located(step.rights, grant.right(), grant.askInstead());
+        }
+        Team team = step.policy.policy().teams().get(grant.right().name());
+        if (team != null) {
+            step.quota = Borrowing.granted(step.quota, grant, team, step.borrowing(), step.out);
+        }
+    }
+
+    /** Whoever is asked for a right that it can't use finds out where the right is, or creates it. */
+    private static void seekIfUnusable(Step step, RightId right) {
+        if (!step.rights.usable(right, step.now)) {
+            step.rights = RightsLogic.lookUp(step.rights, right, step.now, step.out);
+        }
+    }
+
+    private static Optional<NodeId> whereElse(Step step, RightId right) {
+        return RightsLogic.whereIs(step.rights, right, step.fleet);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Permits.java
@@ -0,0 +1,102 @@
+package org.heatherhaven.core.logic.node;
+
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.logic.call.EntryCall;
+import org.heatherhaven.core.logic.call.EntryCall.Stage;
+import org.heatherhaven.core.logic.once.OnceLogic;
+import org.heatherhaven.core.logic.rights.RightsLogic;
+import org.heatherhaven.core.message.PermitAnswer;
+import org.heatherhaven.core.message.PermitAsk;
+import org.heatherhaven.core.message.PermitReport;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Outcome;
+import org.heatherhaven.core.model.Reason;
+import org.heatherhaven.core.model.Refusal;
+import org.heatherhaven.core.model.RightId;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/** Asks the ledger before an unrepeatable request with an idempotency key is sent. */
+final class Permits {
+
+    private static final Duration ASK_AGAIN = Duration.ofMillis(250);
+    private static final Duration REDIRECT_PAUSE = Duration.ofMillis(10);
+    private static final Duration PERMIT_WAIT = Duration.ofSeconds(3);
+
+    private Permits() {}
+
+    static void ask(Step step, EntryCall call) {
+        RightId slot = slotOf(call);
+        Optional<NodeId> holder = RightsLogic.whereIs(step.rights, slot, step.fleet);
+        holder.ifPresent(node -> step.out.add(new Effect.Send(
+                node,
+                new PermitAsk(
+                        step.rights.self(),
+                        slot,
+                        call.info().call(),
+                        call.info().permitKey().orElseThrow()))));
+        step.calls = step.calls.with(call.withStage(Stage.PERMIT, step.now.plus(ASK_AGAIN)));
+    }
+
+    static void askAgain(Step step, EntryCall call) {
+        if (Duration.between(call.info().arrivedAt(), step.now).compareTo(PERMIT_WAIT) > 0) {
+            Attempts.refuse(
+                    step, call, Refusal.unknown(Reason.LEDGER_UNAVAILABLE, "the ledger's holder can't be reached"));
+            return;
+        }
+        ask(step, call);
+    }
+
+    private static RightId slotOf(EntryCall call) {
+        return OnceLogic.slotOf(
+                call.info().route().service(), call.info().permitKey().orElseThrow());
+    }
+
+    static void answered(Step step, PermitAnswer answer) {
+        Optional<EntryCall> waiting = CallFlow.find(step, answer.seq())
+                .filter(call -> call.stage() == Stage.PERMIT && slotOf(call).equals(answer.right()));
+        if (waiting.isEmpty()) {
+            return;
+        }
+        EntryCall call = waiting.get();
+        switch (answer.verdict()) {
+            case PERMITTED -> Attempts.send(step, call.withPermit());
+            case RAN -> Attempts.refuse(step, call, duplicate(Outcome.RUN, "an earlier submission of this key ran"));
+            case MAY_HAVE_RUN -> Attempts.refuse(
+                    step, call, duplicate(Outcome.UNKNOWN, "an earlier submission of this key may have run"));
+            case FORGOTTEN -> Attempts.refuse(
+                    step,
+                    call,
+                    Refusal.unknown(
+                            Reason.LEDGER_UNAVAILABLE, "the ledger was lost, and an earlier submission may have run"));
+            case FULL -> Attempts.refuse(step, call, Refusal.notRun(Reason.LEDGER_FULL, "the ledger is full"));
+            case NOT_HELD -> {
+                step.rights = RightsLogic.located(step.rights, answer.right(), answer.askInstead());
+                step.calls = step.calls.with(call.withStage(Stage.PERMIT, step.now.plus(REDIRECT_PAUSE)));
+            }
+            default -> throw new IllegalArgumentException("verdict " + answer.verdict());
+        }
+    }
+
+    private static Refusal duplicate(Outcome outcome, String detail) {
+        return new Refusal(Reason.DUPLICATE, outcome, Duration.ZERO, detail);
+    }
+
+    /** Tells the ledger how a permitted request ended. */
+    static void report(Step step, EntryCall call, Outcome outcome) {
+        if (!call.permitted()) {
+            return;
+        }
+        RightId slot = slotOf(call);
+        RightsLogic.whereIs(step.rights, slot, step.fleet)
+                .ifPresent(node -> step.out.add(new Effect.Send(
+                        node,
+                        new PermitReport(
+                                step.rights.self(),
+                                slot,
+                                call.info().call(),
+                                call.info().permitKey().orElseThrow(),
+                                outcome))));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
@@ -0,0 +1,94 @@
+package org.heatherhaven.core.logic.node;
+
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.logic.membership.Rings;
+import org.heatherhaven.core.logic.once.OnceLogic;
+import org.heatherhaven.core.logic.policy.Policy;
+import org.heatherhaven.core.logic.policy.PolicyState;
+import org.heatherhaven.core.logic.quota.Borrowing;
+import org.heatherhaven.core.logic.quota.Lending;
+import org.heatherhaven.core.logic.rights.RightsLogic;
+import org.heatherhaven.core.logic.routing.RoutingLogic;
+import org.heatherhaven.core.message.PolicyPage;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.PolicyVersion;
+import org.heatherhaven.core.model.RightId;
+import org.heatherhaven.core.model.Route;
+import org.heatherhaven.core.model.Team;
+import org.heatherhaven.core.model.Zone;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** What follows from new policy versions, and the duties that a few nodes carry for all. */
+final class Spreading {
+
+    /** Members of each zone that watch the platform. */
+    private static final int WATCHERS_PER_ZONE = 2;
+
+    private static final Duration REVIEW_INTERVAL = Duration.ofSeconds(1);
+
+    private Spreading() {}
+
+    /** Passes new versions on to the neighbours at once, and prepares the rights that they call for. */
+    static void policyAdvanced(Step step, PolicyState before, long versionBefore) {
+        Policy policy = step.policy.policy();
+        step.note("policy", "version", "from " + versionBefore, "version " + policy.version() + " in force");
+        List<PolicyVersion> fresh = step.policy.recent().stream()
+                .filter(version -> version.version() > versionBefore)
+                .toList();
+        if (!fresh.isEmpty() && versionBefore > 0) {
+            for (NodeId neighbour : step.fleet.neighbours()) {
+                step.out.add(new Effect.Send(neighbour, new PolicyPage(Optional.empty(), fresh)));
+            }
+        }
+        for (Team team : policy.teams().values()) {
+            if (!before.policy().teams().containsKey(team.name())) {
+                prepare(step, RightId.Kind.SHARE, team.name(), team.shares());
+            }
+        }
+        for (Route route : policy.routes().values()) {
+            boolean known = before.policy().routes().containsKey(route.name());
+            if (route.unrepeatable() && !known) {
+                prepare(step, RightId.Kind.SLOT, route.service(), OnceLogic.SLOTS_PER_SERVICE);
+            }
+        }
+    }
+
+    private static void prepare(Step step, RightId.Kind kind, String name, int count) {
+        for (int index = 0; index < count; index++) {
+            RightId right = new RightId(kind, name, index);
+            if (RightsLogic.home(right, step.fleet).filter(step.self()::equals).isPresent()) {
+                step.rights = RightsLogic.lookUp(step.rights, right, step.now, step.out);
+            }
+        }
+    }
+
+    /** Works out now and then whether this node watches the platform for its zone. */
+    static void review(Step step) {
+        if (step.now.isBefore(step.duties.reviewAt())) {
+            return;
+        }
+        Zone home = step.fleet.self().zone();
+        List<Member> zone = step.fleet.members().values().stream()
+                .filter(member -> member.zone().equals(home) && !member.status().gone())
+                .toList();
+        boolean watcher = Rings.rendezvous("watch|" + home, zone, WATCHERS_PER_ZONE).stream()
+                .anyMatch(member -> member.id().equals(step.self()));
+        step.duties = new Duties(watcher, step.now.plus(REVIEW_INTERVAL));
+        step.routing = RoutingLogic.prune(step.routing, step.fleet);
+    }
+
+    static void tickHoldings(Step step) {
+        for (RightId right : step.quota.buckets().keySet()) {
+            Team team = step.policy.policy().teams().get(right.name());
+            if (team != null) {
+                step.quota = Lending.tick(step.quota, right, team, step.now);
+            }
+        }
+        step.once = OnceLogic.tick(step.once, step.rules.ledger(), step.now);
+        step.quota = Borrowing.tick(step.quota, step.policy.policy().teams(), step.borrowing(), step.out);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
@@ -0,0 +1,96 @@
+package org.heatherhaven.core.logic.node;
+
+import org.heatherhaven.core.effect.Decision;
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.effect.Outbox;
+import org.heatherhaven.core.logic.admission.GuardState;
+import org.heatherhaven.core.logic.call.CallsState;
+import org.heatherhaven.core.logic.membership.MembershipState;
+import org.heatherhaven.core.logic.once.OnceState;
+import org.heatherhaven.core.logic.policy.PolicyState;
+import org.heatherhaven.core.logic.pressure.PressureState;
+import org.heatherhaven.core.logic.quota.Borrowing;
+import org.heatherhaven.core.logic.quota.QuotaState;
+import org.heatherhaven.core.logic.rights.RightsState;
+import org.heatherhaven.core.logic.routing.RoutingState;
+import org.heatherhaven.core.message.Rumours;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.RightId;
+import org.pcollections.PMap;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** The parts of a node's state while one event is worked on; never leaves the step. */
+final class Step {
+
+    final NodeRules rules;
+    final Instant now;
+    final Outbox out = new Outbox();
+    PolicyState policy;
+    MembershipState fleet;
+    RoutingState routing;
+    PressureState pressure;
+    GuardState guard;
+    CallsState calls;
+    RightsState rights;
+    QuotaState quota;
+    OnceState once;
+    PMap<RightId, Incoming> incoming;
+    Optional<Instant> drainingSince;
+    long linkFloor;
+    boolean thawing;
+    Duties duties;
+    private final long steps;
+
+    Step(NodeState state, Instant now) {
+        this.rules = state.rules();
+        this.now = now;
+        this.policy = state.policy();
+        this.fleet = state.fleet();
+        this.routing = state.routing();
+        this.pressure = state.pressure();
+        this.guard = state.guard();
+        this.calls = state.calls();
+        this.rights = state.rights();
+        this.quota = state.quota();
+        this.once = state.once();
+        this.incoming = state.incoming();
+        this.drainingSince = state.drainingSince();
+        this.linkFloor = state.linkFloor();
+        this.thawing = state.thawing();
+        this.duties = state.duties();
+        this.steps = state.steps();
+    }
+
+    NodeState finish() {
+        return new NodeState(
+                rules, policy, fleet, routing, pressure, guard, calls, rights, quota, once, incoming, drainingSince,
+                now, linkFloor, thawing, duties, steps + 1);
+    }
+
+    NodeId self() {
+        return fleet.self().id();
+    }
+
+    SplittableRandom random() {
+        return new SplittableRandom(rules.seed() + steps);
+    }
+
+    Borrowing.Context borrowing() {
+        return new Borrowing.Context(rights, fleet, now);
+    }
+
+    Rumours rumours() {
+        long ago = Math.max(0, Duration.between(policy.confirmedAt(), now).toMillis());
+        return new Rumours(List.of(), policy.policy().version(), ago);
+    }
+
+    void note(String subject, String rule, String measure, String result) {
+        out.add(new Effect.Note(
+                new Decision(subject, now, policy.policy().version(), rule, measure, result)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyState.java
@@ -0,0 +1,60 @@
+package org.heatherhaven.core.logic.policy;
+
+import org.heatherhaven.core.model.PolicyVersion;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+import java.time.Instant;
+import java.util.Optional;
+
+/**
+ * The policy in force at this node and what it knows of newer ones.
+ *
+ * @param policy the policy in force
+ * @param recent the latest versions in order, for peers that lag behind
+ * @param confirmedAt the latest moment at which the version in force is known to have been the newest
+ * @param submission a patch of this node that is being committed
+ * @param pullAt when missing versions are asked for next
+ * @param readAt when the platform is read next
+ * @param reading true while a read of the platform is under way
+ */
+public record PolicyState(
+        Policy policy,
+        PVector<PolicyVersion> recent,
+        Instant confirmedAt,
+        Optional<Submission> submission,
+        Instant pullAt,
+        Instant readAt,
+        boolean reading) {
+
+    /**
+     * The state of a node that knows nothing.
+     *
+     * @param now start of the node
+     * @return the state
+     */
+    public static PolicyState start(Instant now) {
+        return new PolicyState(Policy.EMPTY, TreePVector.empty(), now, Optional.empty(), now, now, false);
+    }
+
+    PolicyState withPolicy(Policy next, PVector<PolicyVersion> versions) {
+        return new PolicyState(next, versions, confirmedAt, submission, pullAt, readAt, reading);
+    }
+
+    PolicyState withConfirmed(Instant at) {
+        Instant latest = at.isAfter(confirmedAt) ? at : confirmedAt;
+        return new PolicyState(policy, recent, latest, submission, pullAt, readAt, reading);
+    }
+
+    PolicyState withSubmission(Optional<Submission> next) {
+        return new PolicyState(policy, recent, confirmedAt, next, pullAt, readAt, reading);
+    }
+
+    PolicyState withPullAt(Instant at) {
+        return new PolicyState(policy, recent, confirmedAt, submission, at, readAt, reading);
+    }
+
+    PolicyState withRead(Instant at, boolean underWay) {
+        return new PolicyState(policy, recent, confirmedAt, submission, pullAt, at, underWay);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
@@ -0,0 +1,260 @@
+package org.heatherhaven.core.logic.quota;
+
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.effect.Outbox;
+import org.heatherhaven.core.logic.Hashes;
+import org.heatherhaven.core.logic.membership.MembershipState;
+import org.heatherhaven.core.logic.quota.QuotaState.DeniedCall;
+import org.heatherhaven.core.logic.rights.RightsLogic;
+import org.heatherhaven.core.logic.rights.RightsState;
+import org.heatherhaven.core.message.LoanAsk;
+import org.heatherhaven.core.message.LoanGrant;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.RightId;
+import org.heatherhaven.core.model.Team;
+import org.pcollections.PMap;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+
+/** The side of a node where a team's calls enter. */
+public final class Borrowing {
+
+    /** How long a call may wait for a token. */
+    public static final Duration TOKEN_WAIT = Duration.ofMillis(200);
+
+    private static final Duration LOOK_INTERVAL = Duration.ofMillis(50);
+    private static final Duration ASK_LIMIT = Duration.ofMillis(400);
+    private static final Duration IDLE_LIMIT = Duration.ofSeconds(30);
+    private static final Duration REDIRECT_PAUSE = Duration.ofMillis(10);
+    private static final Duration LOST_PAUSE = Duration.ofMillis(50);
+    private static final int MAX_WAITERS = 256;
+    private static final double PACE_SMOOTHING = 0.3;
+
+    /** Demand is covered ahead for this many looks. */
+    private static final double LOOKS_AHEAD = 2;
+
+    private Borrowing() {}
+
+    /**
+     * Asks for a token for a call. The call is then among the ready, among the refused, or waits.
+     *
+     * @param state the state
+     * @param call number of the call
+     * @param team its team
+     * @param context what is needed to find the holders
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static QuotaState arrived(QuotaState state, long call, Team team, Context context, Outbox out) {
+        Instant now = context.now();
+        Wallet wallet = state.wallets().getOrDefault(team.name(), Wallet.start(now)).arrived(now);
+        Optional<Wallet> spent = wallet.waiters().isEmpty() ? wallet.spend(now) : Optional.empty();
+        if (spent.isPresent()) {
+            QuotaState next = state.withWallet(team.name(), spent.get()).withReady(call);
+            boolean low = spent.get().tokens(now) < spent.get().pace();
+            return low ? ask(next, team, context, out) : next;
+        }
+        boolean hopeless = allDenied(wallet, team, now.plus(TOKEN_WAIT));
+        if (hopeless || wallet.waiters().size() >= MAX_WAITERS) {
+            return state.withWallet(team.name(), wallet)
+                    .withRefused(new DeniedCall(call, true, earliest(wallet, now)));
+        }
+        Wallet queued = wallet.withWaiters(wallet.waiters().plus(new Waiter(call, now.plus(TOKEN_WAIT))));
+        return ask(state.withWallet(team.name(), queued), team, context, out);
+    }
+
+    /**
+     * What is needed to find the holders of shares.
+     *
+     * @param rights rights of this process
+     * @param fleet current members
+     * @param now current time
+     */
+    public record Context(RightsState rights, MembershipState fleet, Instant now) {}
+
+    private static boolean allDenied(Wallet wallet, Team team, Instant at) {
+        if (wallet.denied().size() < team.shares()) {
+            return false;
+        }
+        return wallet.denied().values().stream().allMatch(at::isBefore);
+    }
+
+    private static Instant earliest(Wallet wallet, Instant now) {
+        return wallet.denied().values().stream()
+                .filter(now::isBefore)
+                .min(Instant::compareTo)
+                .orElse(now);
+    }
+
+    private static QuotaState ask(QuotaState state, Team team, Context context, Outbox out) {
+        Instant now = context.now();
+        Wallet wallet = state.wallets().get(team.name());
+        double ahead = Math.min(wallet.pace() * LOOKS_AHEAD, team.shareBurst() / 2);
+        int want = (int) Math.ceil(wallet.waiters().size() + ahead - wallet.tokens(now));
+        if (want <= 0) {
+            return state;
+        }
+        Optional<RightId> share = nextShare(wallet, team, context);
+        if (share.isEmpty()) {
+            return state;
+        }
+        Optional<NodeId> holder = RightsLogic.whereIs(context.rights(), share.get(), context.fleet());
+        if (holder.isEmpty()) {
+            return state;
+        }
+        long seq = state.nextSeq();
+        long spentBefore = wallet.spentBefore(share.get(), seq);
+        out.add(new Effect.Send(
+                holder.get(), new LoanAsk(context.rights().self(), share.get(), seq, want, spentBefore)));
+        Wallet asked = wallet.withAsks(wallet.asks().plus(share.get(), new PendingAsk(seq, now)));
+        return state.withWallet(team.name(), asked).withNextSeq(seq + 1);
+    }
+
+    /** Each node starts at a share of its own, so that the shares of a large team are asked evenly. */
+    private static Optional<RightId> nextShare(Wallet wallet, Team team, Context context) {
+        int start = Hashes.bucket(context.rights().self().node() + "|" + team.name(), team.shares());
+        for (int i = 0; i < team.shares(); i++) {
+            RightId share = new RightId(RightId.Kind.SHARE, team.name(), (start + i) % team.shares());
+            Instant deniedUntil = wallet.denied().get(share);
+            boolean free = deniedUntil == null || !context.now().isBefore(deniedUntil);
+            if (free && !wallet.asks().containsKey(share)) {
+                return Optional.of(share);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Takes the answer to a question for tokens.
+     *
+     * @param state the state
+     * @param grant the answer
+     * @param team the team
+     * @param context what is needed to find the holders
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static QuotaState granted(QuotaState state, LoanGrant grant, Team team, Context context, Outbox out) {
+        Wallet wallet = state.wallets().get(team.name());
+        PendingAsk pending = wallet == null ? null : wallet.asks().get(grant.right());
+        if (pending == null || pending.seq() != grant.seq()) {
+            // An answer that comes too late or twice: the tokens are lost, never minted.
+            return state;
+        }
+        Instant now = context.now();
+        Wallet answered = wallet.withAsks(wallet.asks().minus(grant.right()));
+        if (grant.tokens() > 0) {
+            HeldLoan loan = new HeldLoan(
+                    grant.right(),
+                    grant.seq(),
+                    grant.tokens(),
+                    pending.askedAt().plusMillis(grant.lifeMillis()));
+            answered = answered.withLoans(answered.loans().plus(loan))
+                    .withDenied(answered.denied().minus(grant.right()));
+        } else if (grant.held()) {
+            Instant until = now.plusMillis(Math.max(1, grant.retryAfterMillis()));
+            answered = answered.withDenied(answered.denied().plus(grant.right(), until));
+        } else {
+            // Two nodes that point at each other must not be asked in a circle without a pause.
+            Duration pause = grant.askInstead().isPresent() ? REDIRECT_PAUSE : LOST_PAUSE;
+            Instant paused = now.plus(pause).minus(ASK_LIMIT);
+            answered = answered.withAsks(answered.asks().plus(grant.right(), new PendingAsk(0, paused)));
+        }
+        return serve(state.withWallet(team.name(), answered), team, context, out);
+    }
+
+    private static QuotaState serve(QuotaState state, Team team, Context context, Outbox out) {
+        QuotaState next = state;
+        Wallet wallet = state.wallets().get(team.name());
+        while (!wallet.waiters().isEmpty()) {
+            Optional<Wallet> spent = wallet.spend(context.now());
+            if (spent.isEmpty()) {
+                break;
+            }
+            next = next.withReady(wallet.waiters().get(0).call());
+            wallet = spent.get().withWaiters(wallet.waiters().minus(0));
+        }
+        next = next.withWallet(team.name(), wallet);
+        return wallet.waiters().isEmpty() ? next : ask(next, team, context, out);
+    }
+
+    /**
+     * Lets time pass: gives up unanswered questions, refuses calls that have waited in vain, and covers demand ahead.
+     *
+     * @param state the state
+     * @param teams teams of the policy in force
+     * @param context what is needed to find the holders
+     * @param out takes the effects
+     * @return the new state
+     */
+    public static QuotaState tick(QuotaState state, PMap<String, Team> teams, Context context, Outbox out) {
+        Instant now = context.now();
+        boolean look = !now.isBefore(state.nextLookAt());
+        QuotaState next = look ? state.withNextLookAt(now.plus(LOOK_INTERVAL)) : state;
+        for (Map.Entry<String, Wallet> entry : state.wallets().entrySet()) {
+            String name = entry.getKey();
+            Team team = teams.get(name);
+            Wallet wallet = withoutStaleAsks(entry.getValue().withoutExpired(now), now);
+            boolean idle = wallet.waiters().isEmpty()
+                    && Duration.between(wallet.usedAt(), now).compareTo(IDLE_LIMIT) > 0;
+            if (idle) {
+                next = next.withoutWallet(name);
+                continue;
+            }
+            if (look) {
+                wallet = wallet.withPace(wallet.pace() + PACE_SMOOTHING * (wallet.arrivals() - wallet.pace()));
+            }
+            next = refuseExpired(next, name, wallet, team, now);
+            if (team != null) {
+                next = serve(next, team, context, out);
+            }
+        }
+        return next;
+    }
+
+    private static Wallet withoutStaleAsks(Wallet wallet, Instant now) {
+        PMap<RightId, PendingAsk> asks = wallet.asks();
+        for (Map.Entry<RightId, PendingAsk> ask : wallet.asks().entrySet()) {
+            if (Duration.between(ask.getValue().askedAt(), now).compareTo(ASK_LIMIT) >= 0) {
+                asks = asks.minus(ask.getKey());
+            }
+        }
+        return asks == wallet.asks() ? wallet : wallet.withAsks(asks);
+    }
+
+    private static QuotaState refuseExpired(QuotaState state, String name, Wallet wallet, Team team, Instant now) {
+        QuotaState next = state;
+        Wallet left = wallet;
+        while (!left.waiters().isEmpty()
+                && (team == null || !now.isBefore(left.waiters().get(0).until()))) {
+            boolean denied = team != null && left.denied().size() >= team.shares();
+            next = next.withRefused(new DeniedCall(left.waiters().get(0).call(), denied, earliest(left, now)));
+            left = left.withWaiters(left.waiters().minus(0));
+        }
+        return next.withWallet(name, left);
+    }
+
+    /**
+     * Forgets a call that no longer wants its token.
+     *
+     * @param state the state
+     * @param team its team
+     * @param call number of the call
+     * @return the new state
+     */
+    public static QuotaState gone(QuotaState state, String team, long call) {
+        Wallet wallet = state.wallets().get(team);
+        if (wallet == null) {
+            return state;
+        }
+        for (Waiter waiter : wallet.waiters()) {
+            if (waiter.call() == call) {
+                return state.withWallet(team, wallet.withWaiters(wallet.waiters().minus(waiter)));
+            }
+        }
+        return state;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Bucket.java
@@ -0,0 +1,99 @@
+package org.heatherhaven.core.logic.quota;
+
+import org.heatherhaven.core.logic.rights.RightsLogic;
+import org.heatherhaven.core.model.Owner;
+import org.heatherhaven.core.model.Team;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+
+/**
+ * The bucket of one share at its holder.
+ *
+ * <p>Tokens and outstanding loans together never exceed the share's burst. Every change first refills under the loans
+ * as they weighed until then, and only afterwards lets go of loans that ended; otherwise time that passed under a full
+ * bucket would be credited a second time.
+ *
+ * @param term generation at which this process became holder
+ * @param tokens tokens to lend
+ * @param refilledAt when tokens were last added
+ * @param borrowers loans by borrower
+ */
+record Bucket(long term, double tokens, Instant refilledAt, PMap<Owner, Borrower> borrowers) {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    static Bucket empty(long term, Instant now) {
+        return new Bucket(term, 0, now, HashTreePMap.empty());
+    }
+
+    static Bucket full(long term, Team team, Instant now) {
+        return new Bucket(term, team.shareBurst(), now, HashTreePMap.empty());
+    }
+
+    double lent() {
+        return borrowers.values().stream()
+                .flatMap(borrower -> borrower.loans().values().stream())
+                .mapToDouble(Loan::tokens)
+                .sum();
+    }
+
+    /** Adds the tokens of the time passed, then drops loans that have surely ended. */
+    Bucket refilled(Team team, Instant now) {
+        double seconds = Math.max(0, Duration.between(refilledAt, now).toNanos() / NANOS_PER_SECOND);
+        double room = Math.max(0, team.shareBurst() - lent());
+        double filled = Math.min(room, tokens + seconds * team.shareRate());
+        Instant at = now.isAfter(refilledAt) ? now : refilledAt;
+        return new Bucket(term, filled, at, borrowers).expired(now);
+    }
+
+    private Bucket expired(Instant now) {
+        PMap<Owner, Borrower> next = borrowers;
+        for (Map.Entry<Owner, Borrower> entry : borrowers.entrySet()) {
+            PMap<Long, Loan> loans = entry.getValue().loans();
+            for (Map.Entry<Long, Loan> loan : loans.entrySet()) {
+                if (!now.isBefore(loan.getValue().weighsUntil())) {
+                    loans = loans.minus(loan.getKey());
+                }
+            }
+            if (loans.isEmpty()) {
+                next = next.minus(entry.getKey());
+            } else if (loans != entry.getValue().loans()) {
+                next = next.plus(entry.getKey(), new Borrower(entry.getValue().lastSeq(), loans));
+            }
+        }
+        return next == borrowers ? this : new Bucket(term, tokens, refilledAt, next);
+    }
+
+    Bucket settled(Owner owner, long spentBefore) {
+        Borrower borrower = borrowers.getOrDefault(owner, Borrower.NEW);
+        PMap<Long, Loan> loans = borrower.loans();
+        for (Long seq : borrower.loans().keySet()) {
+            if (seq < spentBefore) {
+                loans = loans.minus(seq);
+            }
+        }
+        return new Bucket(
+                term, tokens, refilledAt, borrowers.plus(owner, new Borrower(borrower.lastSeq(), loans)));
+    }
+
+    Bucket lend(Owner owner, long seq, int amount, Duration life, Instant now) {
+        Borrower borrower = borrowers.getOrDefault(owner, Borrower.NEW);
+        PMap<Long, Loan> loans = amount == 0
+                ? borrower.loans()
+                : borrower.loans().plus(seq, new Loan(amount, now.plus(RightsLogic.withDrift(life))));
+        return new Bucket(term, tokens - amount, refilledAt, borrowers.plus(owner, new Borrower(seq, loans)));
+    }
+
+    /** Takes over what a holder before has left; its loans weigh like one loan of the longest life. */
+    Bucket inherited(Owner from, double left, double lent, Instant now) {
+        Loan loan = new Loan(lent, now.plus(RightsLogic.withDrift(RightsLogic.LONGEST_LOAN)));
+        PMap<Owner, Borrower> next = lent <= 0
+                ? borrowers
+                : borrowers.plus(from, new Borrower(0, HashTreePMap.<Long, Loan>empty().plus(0L, loan)));
+        return new Bucket(term, tokens + left, refilledAt, next);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/HeldLoan.java
@@ -0,0 +1,15 @@
+package org.heatherhaven.core.logic.quota;
+
+import org.heatherhaven.core.model.RightId;
+
+import java.time.Instant;
+
+/**
+ * Tokens that this node has borrowed.
+ *
+ * @param right the share they come from
+ * @param seq number of the question that won them
+ * @param tokens tokens left
+ * @param expiresAt when they may no longer be spent
+ */
+record HeldLoan(RightId right, long seq, int tokens, Instant expiresAt) {}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Loan.java
@@ -0,0 +1,11 @@
+package org.heatherhaven.core.logic.quota;
+
+import java.time.Instant;
+
+/**
+ * Tokens that a lender has given out.
+ *
+ * @param tokens number of tokens
+ * @param weighsUntil when the loan has surely ended at its borrower
+ */
+record Loan(double tokens, Instant weighsUntil) {}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/PendingAsk.java
@@ -0,0 +1,11 @@
+package org.heatherhaven.core.logic.quota;
+
+import java.time.Instant;
+
+/**
+ * A question for tokens without an answer so far.
+ *
+ * @param seq number of the question
+ * @param askedAt when it was sent
+ */
+record PendingAsk(long seq, Instant askedAt) {}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Wallet.java
@@ -0,0 +1,98 @@
+package org.heatherhaven.core.logic.quota;
+
+import org.heatherhaven.core.model.RightId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+import java.time.Instant;
+import java.util.Optional;
+
+/**
+ * The tokens of one team at a node where its calls enter.
+ *
+ * @param loans borrowed tokens
+ * @param asks questions without an answer, by share
+ * @param waiters calls that wait, in order of arrival
+ * @param denied shares that had no tokens, with the time at which they may have some
+ * @param arrivals calls since the last look
+ * @param pace smoothed number of calls between two looks
+ * @param usedAt when a call last came
+ */
+record Wallet(
+        PVector<HeldLoan> loans,
+        PMap<RightId, PendingAsk> asks,
+        PVector<Waiter> waiters,
+        PMap<RightId, Instant> denied,
+        int arrivals,
+        double pace,
+        Instant usedAt) {
+
+    static Wallet start(Instant now) {
+        return new Wallet(
+                TreePVector.empty(), HashTreePMap.empty(), TreePVector.empty(), HashTreePMap.empty(), 0, 0, now);
+    }
+
+    int tokens(Instant now) {
+        return loans.stream()
+                .filter(loan -> now.isBefore(loan.expiresAt()))
+                .mapToInt(HeldLoan::tokens)
+                .sum();
+    }
+
+    Wallet withoutExpired(Instant now) {
+        PVector<HeldLoan> live = loans;
+        for (HeldLoan loan : loans) {
+            if (loan.tokens() <= 0 || !now.isBefore(loan.expiresAt())) {
+                live = live.minus(loan);
+            }
+        }
+        return live == loans ? this : withLoans(live);
+    }
+
+    /** Spends a token of the oldest loan; nothing if there is none at this moment. */
+    Optional<Wallet> spend(Instant now) {
+        for (int i = 0; i < loans.size(); i++) {
+            HeldLoan loan = loans.get(i);
+            if (loan.tokens() > 0 && now.isBefore(loan.expiresAt())) {
+                HeldLoan left = new HeldLoan(loan.right(), loan.seq(), loan.tokens() - 1, loan.expiresAt());
+                return Optional.of(withLoans(loans.with(i, left)));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Loans of a share with lower numbers than this are used up or over. */
+    long spentBefore(RightId right, long nextSeq) {
+        return loans.stream()
+                .filter(loan -> loan.right().equals(right) && loan.tokens() > 0)
+                .mapToLong(HeldLoan::seq)
+                .min()
+                .orElse(nextSeq);
+    }
+
+    Wallet withLoans(PVector<HeldLoan> next) {
+        return new Wallet(next, asks, waiters, denied, arrivals, pace, usedAt);
+    }
+
+    Wallet withAsks(PMap<RightId, PendingAsk> next) {
+        return new Wallet(loans, next, waiters, denied, arrivals, pace, usedAt);
+    }
+
+    Wallet withWaiters(PVector<Waiter> next) {
+        return new Wallet(loans, asks, next, denied, arrivals, pace, usedAt);
+    }
+
+    Wallet withDenied(PMap<RightId, Instant> next) {
+        return new Wallet(loans, asks, waiters, next, arrivals, pace, usedAt);
+    }
+
+    Wallet arrived(Instant now) {
+        return new Wallet(loans, asks, waiters, denied, arrivals + 1, pace, now);
+    }
+
+    Wallet withPace(double next) {
+        return new Wallet(loans, asks, waiters, denied, 0, next, usedAt);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
@@ -0,0 +1,189 @@
+package org.heatherhaven.core.logic.routing;
+
+import org.heatherhaven.core.logic.membership.MembershipState;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Zone;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/** Chooses targets and learns from how calls end there. */
+public final class RoutingLogic {
+
+    private static final int FAILURES_TO_AVOID = 3;
+    private static final Duration AVOID_BASE = Duration.ofMillis(250);
+    private static final Duration AVOID_LIMIT = Duration.ofSeconds(4);
+    private static final int MAX_AVOID_DOUBLINGS = 4;
+
+    /** No more than one target in this many is set aside, or the others would be overrun. */
+    private static final int AVOIDED_SHARE = 3;
+
+    /** Load, in thousandths of its limit, beyond which a region's calls spill over to other regions. */
+    private static final int SPILL_LOAD = 1_500;
+
+    /** Cost of leaving the zone, in parts of a full target. */
+    private static final double ZONE_COST = 0.1;
+
+    private static final double LOAD_UNIT = 1_000;
+
+    private RoutingLogic() {}
+
+    /**
+     * Chooses the target for a call.
+     *
+     * @param state the state
+     * @param mode way of choosing
+     * @param fleet members to choose among
+     * @param service the service wanted
+     * @param tried targets that this call has tried already
+     * @param random source of the two choices
+     * @param now current time
+     * @return the node of the chosen target, or nothing if no target is left
+     */
+    public static Optional<NodeId> choose(
+            RoutingState state,
+            RoutingMode mode,
+            MembershipState fleet,
+            String service,
+            Set<NodeId> tried,
+            SplittableRandom random,
+            Instant now) {
+        List<Member> able = new ArrayList<>();
+        for (NodeId id : fleet.ofService(service)) {
+            Member member = fleet.members().get(id);
+            if (member.status().takesWork() && !tried.contains(id)) {
+                able.add(member);
+            }
+        }
+        if (able.isEmpty()) {
+            return Optional.empty();
+        }
+        if (mode == RoutingMode.RANDOM) {
+            return Optional.of(able.get(random.nextInt(able.size())).id());
+        }
+        List<Member> healthy = withoutAvoided(state, able, now);
+        Zone home = fleet.self().zone();
+        List<Member> region = healthy.stream()
+                .filter(member -> member.zone().region().equals(home.region()))
+                .toList();
+        if (region.isEmpty()) {
+            return Optional.of(better(state, home, healthy, random, now).id());
+        }
+        Member near = better(state, home, region, random, now);
+        boolean full = state.of(near.id(), now).load() > SPILL_LOAD;
+        return Optional.of(full ? better(state, home, healthy, random, now).id() : near.id());
+    }
+
+    private static List<Member> withoutAvoided(RoutingState state, List<Member> able, Instant now) {
+        List<Member> healthy = able.stream()
+                .filter(member -> !now.isBefore(state.of(member.id(), now).avoidUntil()))
+                .toList();
+        int avoided = able.size() - healthy.size();
+        return avoided * AVOIDED_SHARE > able.size() || healthy.isEmpty() ? able : healthy;
+    }
+
+    private static Member better(
+            RoutingState state, Zone home, List<Member> members, SplittableRandom random, Instant now) {
+        List<Member> local = members.stream()
+                .filter(member -> member.zone().equals(home))
+                .toList();
+        List<Member> firstPool = local.isEmpty() ? members : local;
+        Member first = firstPool.get(random.nextInt(firstPool.size()));
+        Member second = members.get(random.nextInt(members.size()));
+        return cost(state, home, first, now) <= cost(state, home, second, now) ? first : second;
+    }
+
+    private static double cost(RoutingState state, Zone home, Member member, Instant now) {
+        TargetStats stats = state.of(member.id(), now);
+        double own = (stats.inFlight() + 1.0) / Math.max(1, member.slots());
+        double away = member.zone().equals(home) ? 0 : ZONE_COST;
+        return own + stats.load() / LOAD_UNIT + away;
+    }
+
+    /**
+     * Notes that a call was sent to a target.
+     *
+     * @param state the state
+     * @param target node of the target
+     * @param now current time
+     * @return the new state
+     */
+    public static RoutingState sent(RoutingState state, NodeId target, Instant now) {
+        TargetStats stats = state.of(target, now);
+        return state.with(target, stats.withInFlight(stats.inFlight() + 1));
+    }
+
+    /**
+     * Notes that a call ended well at a target.
+     *
+     * @param state the state
+     * @param target node of the target
+     * @param load load that its node reported
+     * @param now current time
+     * @return the new state
+     */
+    public static RoutingState succeeded(RoutingState state, NodeId target, int load, Instant now) {
+        TargetStats stats = state.of(target, now);
+        return state.with(
+                target,
+                stats.withInFlight(stats.inFlight() - 1).withLoad(load).withFailures(0, stats.avoidUntil()));
+    }
+
+    /**
+     * Notes that a call failed at a target, and sets the target aside after a few failures in a row.
+     *
+     * @param state the state
+     * @param target node of the target
+     * @param now current time
+     * @return the new state
+     */
+    public static RoutingState failed(RoutingState state, NodeId target, Instant now) {
+        TargetStats stats = state.of(target, now);
+        int failures = stats.failures() + 1;
+        Instant until = stats.avoidUntil();
+        if (failures >= FAILURES_TO_AVOID) {
+            int doublings = Math.min(failures - FAILURES_TO_AVOID, MAX_AVOID_DOUBLINGS);
+            Duration pause = AVOID_BASE.multipliedBy(1L << doublings);
+            until = now.plus(pause.compareTo(AVOID_LIMIT) > 0 ? AVOID_LIMIT : pause);
+        }
+        return state.with(target, stats.withInFlight(stats.inFlight() - 1).withFailures(failures, until));
+    }
+
+    /**
+     * Notes that a call was given back by a target without a verdict on its health.
+     *
+     * @param state the state
+     * @param target node of the target
+     * @param load load that its node reported
+     * @param now current time
+     * @return the new state
+     */
+    public static RoutingState returned(RoutingState state, NodeId target, int load, Instant now) {
+        TargetStats stats = state.of(target, now);
+        return state.with(target, stats.withInFlight(stats.inFlight() - 1).withLoad(load));
+    }
+
+    /**
+     * Forgets targets that are no longer members.
+     *
+     * @param state the state
+     * @param fleet current members
+     * @return the new state
+     */
+    public static RoutingState prune(RoutingState state, MembershipState fleet) {
+        RoutingState next = state;
+        for (NodeId id : state.targets().keySet()) {
+            boolean gone = fleet.find(id).map(member -> member.status().gone()).orElse(true);
+            if (gone && state.targets().get(id).inFlight() == 0) {
+                next = new RoutingState(next.targets().minus(id));
+            }
+        }
+        return next;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/message/MembersPage.java
@@ -0,0 +1,15 @@
+package org.heatherhaven.core.message;
+
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.NodeId;
+
+import java.util.List;
+
+/**
+ * One page of the member table.
+ *
+ * @param from sender of the page
+ * @param members members in order of their addresses
+ * @param more true if another page follows
+ */
+public record MembersPage(NodeId from, List<Member> members, boolean more) implements PeerMessage {}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/message/PeerMessage.java
@@ -0,0 +1,19 @@
+package org.heatherhaven.core.message;
+
+/** A control message from one node to another; may be lost, doubled, delayed or reordered. */
+public sealed interface PeerMessage
+        permits Probe,
+                ProbeAck,
+                ProbeRequest,
+                MembersPull,
+                MembersPage,
+                PolicyPull,
+                PolicyPage,
+                PromiseAsk,
+                PromiseGive,
+                LoanAsk,
+                LoanGrant,
+                PermitAsk,
+                PermitAnswer,
+                PermitReport,
+                HandOver {}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/message/PermitAnswer.java
@@ -0,0 +1,34 @@
+package org.heatherhaven.core.message;
+
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.RightId;
+
+import java.util.Optional;
+
+/**
+ * Answers a question for a permit.
+ *
+ * @param right the ledger slot
+ * @param seq number of the question at the asker
+ * @param verdict what the ledger says
+ * @param askInstead the node that is believed to hold the right
+ */
+public record PermitAnswer(RightId right, long seq, Verdict verdict, Optional<NodeId> askInstead)
+        implements PeerMessage {
+
+    /** What the ledger says about an idempotency key. */
+    public enum Verdict {
+        /** Seen for the first time: the asker, and no one else, may run it. */
+        PERMITTED,
+        /** An earlier submission ran. */
+        RAN,
+        /** An earlier submission was permitted and its end is not known. */
+        MAY_HAVE_RUN,
+        /** The ledger lost its memory not long ago. */
+        FORGOTTEN,
+        /** The ledger has no room for another key. */
+        FULL,
+        /** The answering node does not hold the slot, or may not use it now. */
+        NOT_HELD
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/message/PromiseAsk.java
@@ -0,0 +1,15 @@
+package org.heatherhaven.core.message;
+
+import org.heatherhaven.core.model.Owner;
+import org.heatherhaven.core.model.RightClaim;
+
+import java.util.List;
+
+/**
+ * A holder asks its standby not to take over for a while.
+ *
+ * @param holder the asking process
+ * @param seq number of the question
+ * @param claims the rights concerned
+ */
+public record PromiseAsk(Owner holder, long seq, List<RightClaim> claims) implements PeerMessage {}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/message/Rumours.java
@@ -0,0 +1,14 @@
+package org.heatherhaven.core.message;
+
+import org.heatherhaven.core.model.Member;
+
+import java.util.List;
+
+/**
+ * News that travels with every probe and answer.
+ *
+ * @param members recent changes of members
+ * @param policyVersion highest policy version in force at the sender
+ * @param confirmedAgoMillis time since some node confirmed with the platform that this version is the newest
+ */
+public record Rumours(List<Member> members, long policyVersion, long confirmedAgoMillis) {}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/message/package-info.java
@@ -0,0 +1,2 @@
+/** Typed messages between nodes; the codec lives with the sockets. */
+package org.heatherhaven.core.message;
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/model/CallHead.java
@@ -0,0 +1,37 @@
+package org.heatherhaven.core.model;
+
+import java.util.List;
+
+/**
+ * All that the node of a target needs to know of a call before its body arrives.
+ *
+ * @param requestId identifier of the call
+ * @param rootId identifier of the root request that the call works for
+ * @param method HTTP method
+ * @param path path with query, as the caller sent it
+ * @param headers end-to-end headers without credentials
+ * @param service service that shall run the call
+ * @param route name of the policy route
+ * @param team team that the call runs for, empty on open routes
+ * @param importance order of shedding
+ * @param depth 0 for a root request, one more for each call below
+ * @param remainingMillis time left until the deadline, milliseconds
+ * @param retries part of the retry budget handed down with the call
+ * @param unrepeatable true if the call must run at most once
+ * @param policyVersion version that admitted the root request
+ */
+public record CallHead(
+        String requestId,
+        String rootId,
+        String method,
+        String path,
+        List<Header> headers,
+        String service,
+        String route,
+        String team,
+        Importance importance,
+        int depth,
+        long remainingMillis,
+        int retries,
+        boolean unrepeatable,
+        long policyVersion) {}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/model/Reason.java
@@ -0,0 +1,67 @@
+package org.heatherhaven.core.model;
+
+import java.util.Locale;
+
+/** Why a request was refused; each constant has its HTTP status, and its own counter. */
+public enum Reason {
+    BAD_REQUEST(400, false),
+    KEY_MISSING(401, false),
+    KEY_UNKNOWN(403, false),
+    CONTEXT_ENDED(403, false),
+    NO_ROUTE(404, false),
+    DUPLICATE(409, false),
+    TOO_MANY_CALLS(429, false),
+    TOO_LARGE(413, false),
+    RATE(429, false),
+    SHED_AT_ENTRY(503, false),
+    SHED_AT_TARGET(503, true),
+    QUEUE_FULL(503, true),
+    TOO_LATE(504, false),
+    NO_TARGET(503, true),
+    DRAINING(503, true),
+    QUOTA_UNAVAILABLE(503, false),
+    LEDGER_UNAVAILABLE(503, false),
+    LEDGER_FULL(503, false),
+    POLICY_STALE(503, false),
+    NODE_OVERLOADED(503, false),
+    TARGET_OVERLOADED(503, true),
+    TARGET_FAILED(502, true),
+    LINK_LOST(502, true),
+    TIMEOUT(504, false),
+    CALLER_GONE(499, false);
+
+    private final int status;
+    private final boolean retryable;
+
+    Reason(int status, boolean retryable) {
+        this.status = status;
+        this.retryable = retryable;
+    }
+
+    /**
+     * HTTP status of the refusal.
+     *
+     * @return status code
+     */
+    public int status() {
+        return status;
+    }
+
+    /**
+     * Tells whether another target may do better.
+     *
+     * @return true if a retry elsewhere makes sense
+     */
+    public boolean retryable() {
+        return retryable;
+    }
+
+    /**
+     * Name shown to callers and used in metric names.
+     *
+     * @return lower-case label
+     */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/model/RightClaim.java
@@ -0,0 +1,9 @@
+package org.heatherhaven.core.model;
+
+/**
+ * A right at one generation, as asked about between holder and standby.
+ *
+ * @param right the right
+ * @param generation generation of its platform object
+ */
+public record RightClaim(RightId right, long generation) {}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/model/Signal.java
@@ -0,0 +1,24 @@
+package org.heatherhaven.core.model;
+
+/**
+ * What the node of a target tells upstream with the end of every call.
+ *
+ * @param keep how many of 256 cohorts of this team and importance the route can serve at present
+ * @param load calls in work and waiting at the target, in thousandths of its limit
+ * @param retriesLeft unspent part of the retry budget that came with the call
+ */
+public record Signal(int keep, int load, int retriesLeft) {
+
+    /** Number of cohorts that root requests are divided into. */
+    public static final int COHORTS = 256;
+
+    /**
+     * The signal of a target without overload.
+     *
+     * @param retriesLeft unspent retry budget
+     * @return a signal that keeps all cohorts
+     */
+    public static Signal calm(int retriesLeft) {
+        return new Signal(COHORTS, 0, retriesLeft);
+    }
+}
