--- /dev/null
+++ b/cli/src/main/java/org/heatherhaven/cli/HelpOption.java
@@ -0,0 +1,14 @@
+package org.heatherhaven.cli;
+
+import com.beust.jcommander.Parameter;
+
+/** The option that every command has. */
+final class HelpOption {
+
+    @Parameter(names = "--help", help = true, description = "Show the options of the command")
+    private boolean help;
+
+    boolean wanted() {
+        return help;
+    }
+}
--- a/core/src/main/java/org/heatherhaven/core/effect/Effect.java
+++ b/core/src/main/java/org/heatherhaven/core/effect/Effect.java
@@ -1,10 +1,12 @@
 package org.heatherhaven.core.effect;
 
+import java.time.Duration;
+import java.util.Optional;
+
 import org.heatherhaven.core.event.OfferKey;
 import org.heatherhaven.core.message.PeerMessage;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Grant;
-import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.Owner;
 import org.heatherhaven.core.model.PolicySnapshot;
@@ -14,9 +16,6 @@
 import org.heatherhaven.core.model.RightId;
 import org.heatherhaven.core.model.Signal;
 
-import java.time.Duration;
-import java.util.Optional;
-
 /** Something that the node shall do. */
 public sealed interface Effect {
 
@@ -118,12 +117,11 @@
     record UpdateGrant(RightId right, Grant grant, long objectVersion) implements Effect {}
 
     /**
-     * Read the policy versions after one.
+     * Read the policy versions after one, waiting for a while if there is none.
      *
      * @param after the version in force here
-     * @param longPoll true to wait for a newer version for a while
      */
-    record ReadPolicy(long after, boolean longPoll) implements Effect {}
+    record ReadPolicy(long after) implements Effect {}
 
     /**
      * Create a policy version, if absent.
@@ -156,13 +154,6 @@
      */
     record AnswerPatch(String patchId, PatchVerdict verdict, long version, Optional<String> reason) implements Effect {}
 
-    /**
-     * Announce this node on the platform.
-     *
-     * @param self this node
-     */
-    record Announce(Member self) implements Effect {}
-
     /** Read announced members from the platform. */
     record ListMembers() implements Effect {}
 
--- a/core/src/main/java/org/heatherhaven/core/event/PlatformEvent.java
+++ b/core/src/main/java/org/heatherhaven/core/event/PlatformEvent.java
@@ -1,14 +1,14 @@
 package org.heatherhaven.core.event;
 
+import java.util.List;
+import java.util.Optional;
+
 import org.heatherhaven.core.model.Grant;
 import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.PolicySnapshot;
 import org.heatherhaven.core.model.PolicyVersion;
 import org.heatherhaven.core.model.RightId;
 
-import java.util.List;
-import java.util.Optional;
-
 /** Answers of the platform's object API. */
 public sealed interface PlatformEvent extends Event {
 
--- a/core/src/main/java/org/heatherhaven/core/event/TrafficEvent.java
+++ b/core/src/main/java/org/heatherhaven/core/event/TrafficEvent.java
@@ -1,15 +1,15 @@
 package org.heatherhaven.core.event;
 
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
 import org.heatherhaven.core.model.Outcome;
 import org.heatherhaven.core.model.Refusal;
 import org.heatherhaven.core.model.Signal;
 
-import java.time.Duration;
-import java.util.List;
-import java.util.Optional;
-
 /** What happens to calls on their way through this node. */
 public sealed interface TrafficEvent extends Event {
 
@@ -57,8 +57,10 @@
      * @param attempt number of the attempt
      * @param refusal what it said
      * @param signal its signal
+     * @param resendable true if the body of the request is still at hand
      */
-    record AttemptRefused(long call, int attempt, Refusal refusal, Signal signal) implements TrafficEvent {}
+    record AttemptRefused(long call, int attempt, Refusal refusal, Signal signal, boolean resendable)
+            implements TrafficEvent {}
 
     /**
      * An attempt ended without any answer.
@@ -66,8 +68,9 @@
      * @param call number of the call
      * @param attempt number of the attempt
      * @param outcome {@link Outcome#NOT_RUN} if nothing of it left this node
+     * @param resendable true if the body of the request is still at hand
      */
-    record AttemptLost(long call, int attempt, Outcome outcome) implements TrafficEvent {}
+    record AttemptLost(long call, int attempt, Outcome outcome, boolean resendable) implements TrafficEvent {}
 
     /**
      * An answer was passed on to its end, or broke off.
--- a/core/src/main/java/org/heatherhaven/core/logic/Hashes.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/Hashes.java
@@ -1,9 +1,9 @@
 package org.heatherhaven.core.logic;
 
-import org.apache.commons.codec.digest.MurmurHash3;
-
 import java.nio.charset.StandardCharsets;
 
+import org.apache.commons.codec.digest.MurmurHash3;
+
 /** Stable hashes, equal on every node. */
 public final class Hashes {
 
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
@@ -1,5 +1,11 @@
 package org.heatherhaven.core.logic.admission;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Outbox;
 import org.heatherhaven.core.event.OfferKey;
@@ -12,12 +18,6 @@
 import org.heatherhaven.core.model.Signal;
 import org.pcollections.PMap;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.Comparator;
-import java.util.Map;
-import java.util.Optional;
-
 /** Reducer of the calls at this node's target. */
 public final class GuardLogic {
 
@@ -52,11 +52,7 @@
      */
     public static GuardState offered(GuardState state, OfferKey key, CallHead head, Instant now, Outbox out) {
         Waiting call = new Waiting(
-                key,
-                head,
-                Waiting.cohortOf(head.rootId()),
-                now,
-                now.plusMillis(Math.max(0, head.remainingMillis())));
+                key, head, Waiting.cohortOf(head.rootId()), now, now.plusMillis(Math.max(0, head.remainingMillis())));
         ClassKey classKey = classOf(head);
         GuardState next = state.withDemand(state.demand().arrived(classKey));
         if (!now.isBefore(state.refuseFrom())) {
@@ -69,7 +65,9 @@
             return run(next, call, now, out);
         }
         next = next.withDemand(next.demand().full());
-        if (next.mode().sheds() && !call.nested() && call.cohort() >= next.keeps().keep(classKey)) {
+        if (next.mode().sheds()
+                && !call.nested()
+                && call.cohort() >= next.keeps().keep(classKey)) {
             return refuse(next, call, Reason.SHED_AT_TARGET, "the target sheds this cohort", out);
         }
         if (expectedWait(next).compareTo(Duration.between(now, call.deadline())) >= 0) {
@@ -113,13 +111,16 @@
         Signal signal = signalFor(next, done);
         switch (result) {
             case ANSWERED -> out.add(new Effect.FinishOffer(key, true, signal));
-            case OVERLOADED -> out.add(new Effect.RefuseOffer(
-                    key, Refusal.unknown(Reason.TARGET_OVERLOADED, "the target said it is overloaded"), signal));
-            case NOT_SENT -> out.add(new Effect.RefuseOffer(
-                    key, Refusal.notRun(Reason.TARGET_FAILED, "the target took no connection"), signal));
+            case OVERLOADED ->
+                out.add(new Effect.RefuseOffer(
+                        key, Refusal.unknown(Reason.TARGET_OVERLOADED, "the target said it is overloaded"), signal));
+            case NOT_SENT ->
+                out.add(new Effect.RefuseOffer(
+                        key, Refusal.notRun(Reason.TARGET_FAILED, "the target took no connection"), signal));
             case FAILED -> out.add(new Effect.FinishOffer(key, false, signal));
-            case ABORTED -> out.add(new Effect.RefuseOffer(
-                    key, Refusal.unknown(Reason.TIMEOUT, "the deadline passed while it ran"), signal));
+            case ABORTED ->
+                out.add(new Effect.RefuseOffer(
+                        key, Refusal.unknown(Reason.TIMEOUT, "the deadline passed while it ran"), signal));
             default -> throw new IllegalArgumentException("result " + result);
         }
         return dispatch(next, now, out);
@@ -153,9 +154,8 @@
             out.add(new Effect.AbortRun(key));
             return state;
         }
-        Optional<Waiting> waiting = state.queue().stream()
-                .filter(call -> call.key().equals(key))
-                .findFirst();
+        Optional<Waiting> waiting =
+                state.queue().stream().filter(call -> call.key().equals(key)).findFirst();
         return waiting.map(call -> refuse(
                         state.withQueue(state.queue().minus(call)), call, Reason.CALLER_GONE, "its caller left", out))
                 .orElse(state);
@@ -176,7 +176,8 @@
         GuardState next = state;
         for (Waiting call : state.queue()) {
             if (call.key().link() == link) {
-                next = next.withQueue(next.queue().minus(call));
+                next = refuse(
+                        next.withQueue(next.queue().minus(call)), call, Reason.CALLER_GONE, "its peer is gone", out);
             }
         }
         return next;
@@ -218,7 +219,8 @@
         double capacity = next.capacity() == 0
                 ? demand.completions()
                 : next.capacity() + CAPACITY_SMOOTHING * (demand.completions() - next.capacity());
-        double room = capacity + Math.max(0, queueCapacity(next) / 2.0 - next.queue().size()) / 2;
+        double room =
+                capacity + Math.max(0, queueCapacity(next) / 2.0 - next.queue().size()) / 2;
         KeepTable keeps = next.keeps().divided(demand.arrivals(), room);
         return next.withWindow(capacity, keeps, now.plus(WINDOW));
     }
@@ -247,8 +249,7 @@
         // The opening number makes the context unguessable enough only together with the link's; it is opaque.
         String context = Long.toString(call.key().link(), Character.MAX_RADIX) + "-"
                 + Long.toString(call.key().stream(), Character.MAX_RADIX) + "-"
-                + Long.toUnsignedString(
-                        Hashes.of(call.head().requestId() + now), Character.MAX_RADIX);
+                + Long.toUnsignedString(Hashes.of(call.head().requestId() + now), Character.MAX_RADIX);
         Running running = new Running(call, context, now, call.head().retries(), Signal.COHORTS, 0);
         out.add(new Effect.RunOffer(call.key(), context, Duration.between(now, call.deadline())));
         String team = call.head().team();
@@ -263,8 +264,8 @@
     }
 
     private static GuardState refuse(GuardState state, Waiting call, Reason reason, String detail, Outbox out) {
-        Signal signal = new Signal(
-                keepOf(state, call.head()), state.load(), call.head().retries());
+        Signal signal =
+                new Signal(keepOf(state, call.head()), state.load(), call.head().retries());
         out.add(new Effect.RefuseOffer(call.key(), Refusal.notRun(reason, detail), signal));
         return state;
     }
@@ -284,9 +285,11 @@
 
     /** Importance first, then work already begun, then the team served least, then the same cohorts everywhere. */
     private static Comparator<Waiting> order(GuardState state) {
-        return Comparator.comparingInt((Waiting call) -> call.head().importance().rank())
+        return Comparator.comparingInt(
+                        (Waiting call) -> call.head().importance().rank())
                 .thenComparing(call -> !call.nested())
-                .thenComparingDouble(call -> state.served().getOrDefault(call.head().team(), 0.0))
+                .thenComparingDouble(
+                        call -> state.served().getOrDefault(call.head().team(), 0.0))
                 .thenComparingInt(Waiting::cohort)
                 .thenComparing(Waiting::arrivedAt);
     }
@@ -300,7 +303,8 @@
         if (state.serviceTime().isZero()) {
             return QUEUE_MIN;
         }
-        double perTarget = state.limit() * QUEUE_TARGET.toNanos() / state.serviceTime().toNanos();
+        double perTarget =
+                state.limit() * QUEUE_TARGET.toNanos() / state.serviceTime().toNanos();
         return (int) Math.min(QUEUE_MAX, Math.max(QUEUE_MIN, perTarget));
     }
 
@@ -341,7 +345,8 @@
     public static GuardState childEnded(GuardState state, String context, int retries, int keep) {
         return byContext(state, context)
                 .map(parent -> parent.withRetries(parent.retries() + retries).withKeep(Math.min(parent.keep(), keep)))
-                .map(parent -> state.withRunning(state.running().plus(parent.call().key(), parent)))
+                .map(parent ->
+                        state.withRunning(state.running().plus(parent.call().key(), parent)))
                 .orElse(state);
     }
 
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardState.java
@@ -1,14 +1,14 @@
 package org.heatherhaven.core.logic.admission;
 
+import java.time.Duration;
+import java.time.Instant;
+
 import org.heatherhaven.core.event.OfferKey;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
 
-import java.time.Duration;
-import java.time.Instant;
-
 /**
  * The calls at this node's target.
  *
@@ -91,55 +91,154 @@
 
     GuardState withLimit(double next) {
         return new GuardState(
-                mode, slots, next, running, contexts, queue, served, serviceTime, capacity, demand, keeps,
-                windowEndsAt, refuseFrom);
+                mode,
+                slots,
+                next,
+                running,
+                contexts,
+                queue,
+                served,
+                serviceTime,
+                capacity,
+                demand,
+                keeps,
+                windowEndsAt,
+                refuseFrom);
     }
 
     GuardState withRunning(PMap<OfferKey, Running> next) {
         return new GuardState(
-                mode, slots, limit, next, contexts, queue, served, serviceTime, capacity, demand, keeps, windowEndsAt,
+                mode,
+                slots,
+                limit,
+                next,
+                contexts,
+                queue,
+                served,
+                serviceTime,
+                capacity,
+                demand,
+                keeps,
+                windowEndsAt,
                 refuseFrom);
     }
 
     GuardState withContexts(PMap<String, OfferKey> next) {
         return new GuardState(
-                mode, slots, limit, running, next, queue, served, serviceTime, capacity, demand, keeps, windowEndsAt,
+                mode,
+                slots,
+                limit,
+                running,
+                next,
+                queue,
+                served,
+                serviceTime,
+                capacity,
+                demand,
+                keeps,
+                windowEndsAt,
                 refuseFrom);
     }
 
     GuardState withQueue(PVector<Waiting> next) {
         return new GuardState(
-                mode, slots, limit, running, contexts, next, served, serviceTime, capacity, demand, keeps,
-                windowEndsAt, refuseFrom);
+                mode,
+                slots,
+                limit,
+                running,
+                contexts,
+                next,
+                served,
+                serviceTime,
+                capacity,
+                demand,
+                keeps,
+                windowEndsAt,
+                refuseFrom);
     }
 
     GuardState withServed(PMap<String, Double> next) {
         return new GuardState(
-                mode, slots, limit, running, contexts, queue, next, serviceTime, capacity, demand, keeps, windowEndsAt,
+                mode,
+                slots,
+                limit,
+                running,
+                contexts,
+                queue,
+                next,
+                serviceTime,
+                capacity,
+                demand,
+                keeps,
+                windowEndsAt,
                 refuseFrom);
     }
 
     GuardState withServiceTime(Duration next) {
         return new GuardState(
-                mode, slots, limit, running, contexts, queue, served, next, capacity, demand, keeps, windowEndsAt,
+                mode,
+                slots,
+                limit,
+                running,
+                contexts,
+                queue,
+                served,
+                next,
+                capacity,
+                demand,
+                keeps,
+                windowEndsAt,
                 refuseFrom);
     }
 
     GuardState withDemand(Demand next) {
         return new GuardState(
-                mode, slots, limit, running, contexts, queue, served, serviceTime, capacity, next, keeps, windowEndsAt,
+                mode,
+                slots,
+                limit,
+                running,
+                contexts,
+                queue,
+                served,
+                serviceTime,
+                capacity,
+                next,
+                keeps,
+                windowEndsAt,
                 refuseFrom);
     }
 
     GuardState withWindow(double nextCapacity, KeepTable nextKeeps, Instant endsAt) {
         return new GuardState(
-                mode, slots, limit, running, contexts, queue, served, serviceTime, nextCapacity, Demand.NONE,
-                nextKeeps, endsAt, refuseFrom);
+                mode,
+                slots,
+                limit,
+                running,
+                contexts,
+                queue,
+                served,
+                serviceTime,
+                nextCapacity,
+                Demand.NONE,
+                nextKeeps,
+                endsAt,
+                refuseFrom);
     }
 
     GuardState withRefuseFrom(Instant at) {
         return new GuardState(
-                mode, slots, limit, running, contexts, queue, served, serviceTime, capacity, demand, keeps,
-                windowEndsAt, at);
+                mode,
+                slots,
+                limit,
+                running,
+                contexts,
+                queue,
+                served,
+                serviceTime,
+                capacity,
+                demand,
+                keeps,
+                windowEndsAt,
+                at);
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/KeepTable.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/KeepTable.java
@@ -1,17 +1,17 @@
 package org.heatherhaven.core.logic.admission;
 
-import org.heatherhaven.core.logic.admission.Demand.ClassKey;
-import org.heatherhaven.core.model.Importance;
-import org.heatherhaven.core.model.Signal;
-import org.pcollections.HashTreePMap;
-import org.pcollections.PMap;
-
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
+import org.heatherhaven.core.logic.admission.Demand.ClassKey;
+import org.heatherhaven.core.model.Importance;
+import org.heatherhaven.core.model.Signal;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
 /**
  * How many cohorts of each class a target can serve.
  *
@@ -50,8 +50,8 @@
     /** Divides the calls that fit into one window among those that came. */
     KeepTable divided(PMap<ClassKey, Integer> arrivals, double capacity) {
         Map<Importance, Map<String, Double>> demand = new HashMap<>();
-        arrivals.forEach((key, count) -> demand.computeIfAbsent(key.importance(), any -> new HashMap<>())
-                .put(key.team(), (double) count));
+        arrivals.forEach((key, count) ->
+                demand.computeIfAbsent(key.importance(), any -> new HashMap<>()).put(key.team(), (double) count));
         PMap<ClassKey, Double> next = keeps;
         double left = capacity;
         for (Importance importance : Importance.values()) {
@@ -61,8 +61,9 @@
                 ClassKey key = new ClassKey(importance, team.getKey());
                 double ratio = fair / team.getValue();
                 double old = next.getOrDefault(key, (double) Signal.COHORTS);
-                double changed =
-                        ratio >= 1 ? Math.min(old * ratio, old * GROWTH + GROWTH_STEP) : old * Math.max(ratio, DEEPEST_CUT);
+                double changed = ratio >= 1
+                        ? Math.min(old * ratio, old * GROWTH + GROWTH_STEP)
+                        : old * Math.max(ratio, DEEPEST_CUT);
                 next = put(next, key, changed);
                 left -= Math.min(fair, team.getValue());
             }
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/Running.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/Running.java
@@ -1,9 +1,9 @@
 package org.heatherhaven.core.logic.admission;
 
-import org.heatherhaven.core.model.Signal;
-
 import java.time.Instant;
 
+import org.heatherhaven.core.model.Signal;
+
 /**
  * A call that the target works on.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/Waiting.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/Waiting.java
@@ -1,12 +1,12 @@
 package org.heatherhaven.core.logic.admission;
 
+import java.time.Instant;
+
 import org.heatherhaven.core.event.OfferKey;
 import org.heatherhaven.core.logic.Hashes;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Signal;
 
-import java.time.Instant;
-
 /**
  * A call in the queue of a target.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/call/CallInfo.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/call/CallInfo.java
@@ -1,13 +1,13 @@
 package org.heatherhaven.core.logic.call;
 
+import java.time.Instant;
+import java.util.Optional;
+
 import org.heatherhaven.core.event.TrafficEvent.CallRequest;
 import org.heatherhaven.core.event.TrafficEvent.Door;
 import org.heatherhaven.core.model.Importance;
 import org.heatherhaven.core.model.Route;
 
-import java.time.Instant;
-import java.util.Optional;
-
 /**
  * What stays the same for a call from its arrival to its end.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/call/EntryCall.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/call/EntryCall.java
@@ -1,13 +1,13 @@
 package org.heatherhaven.core.logic.call;
 
+import java.time.Instant;
+import java.util.Optional;
+
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.Signal;
 import org.pcollections.HashTreePSet;
 import org.pcollections.PSet;
 
-import java.time.Instant;
-import java.util.Optional;
-
 /**
  * A call on its way.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
@@ -1,5 +1,13 @@
 package org.heatherhaven.core.logic.membership;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Outbox;
 import org.heatherhaven.core.message.MembersPage;
@@ -14,14 +22,6 @@
 import org.pcollections.PMap;
 import org.pcollections.PVector;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.SplittableRandom;
-
 /**
  * Reducer of the membership.
  *
@@ -68,8 +68,7 @@
         return next;
     }
 
-    private static MembershipState probeNeighbours(
-            MembershipState state, Rumours rumours, Instant now, Outbox out) {
+    private static MembershipState probeNeighbours(MembershipState state, Rumours rumours, Instant now, Outbox out) {
         MembershipState next = state;
         if (state.neighboursStale()) {
             next = next.withNeighbours(
@@ -119,9 +118,7 @@
 
     private static MembershipState suspect(MembershipState state, PendingProbe probe, Instant now) {
         Optional<Member> member = state.find(probe.target());
-        if (member.isEmpty()
-                || member.get().status().gone()
-                || member.get().status() == MemberStatus.SUSPECT) {
+        if (member.isEmpty() || member.get().status().gone() || member.get().status() == MemberStatus.SUSPECT) {
             return state;
         }
         return learn(state, member.get().withStatus(MemberStatus.SUSPECT), now);
@@ -200,7 +197,8 @@
         MembershipState next = learn(state, pull.from(), now);
         List<Member> page = new ArrayList<>();
         boolean more = false;
-        for (Member member : next.members().tailMap(new NodeId(pull.after()), false).values()) {
+        for (Member member :
+                next.members().tailMap(new NodeId(pull.after()), false).values()) {
             if (page.size() == PAGE_MEMBERS) {
                 more = true;
                 break;
@@ -242,12 +240,10 @@
      * @param out takes the effects
      * @return the new state
      */
-    public static MembershipState probed(
-            MembershipState state, Probe probe, Rumours rumours, Instant now, Outbox out) {
+    public static MembershipState probed(MembershipState state, Probe probe, Rumours rumours, Instant now, Outbox out) {
         MembershipState next = hear(state, probe.from(), probe.rumours(), now);
         // A prober that this node holds for dead must learn so, or it could not refute it.
-        Optional<Member> account = state.find(probe.from().id())
-                .filter(known -> known.supersedes(probe.from()));
+        Optional<Member> account = state.find(probe.from().id()).filter(known -> known.supersedes(probe.from()));
         Rumours news = withNews(next, rumours);
         if (account.isPresent()) {
             List<Member> members = new ArrayList<>(news.members());
@@ -357,7 +353,8 @@
                 break;
             }
         }
-        int fleetBits = Integer.SIZE - Integer.numberOfLeadingZeros(state.members().size());
+        int fleetBits =
+                Integer.SIZE - Integer.numberOfLeadingZeros(state.members().size());
         // Twice the number of doublings, with a factor for the messages a node sends in one round.
         return state.withNews(news.plus(new News(member, 2 * fleetBits + Rings.RINGS)));
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipState.java
@@ -1,5 +1,9 @@
 package org.heatherhaven.core.logic.membership;
 
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
 import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.MemberStatus;
 import org.heatherhaven.core.model.NodeId;
@@ -9,10 +13,6 @@
 import org.pcollections.TreePMap;
 import org.pcollections.TreePVector;
 
-import java.time.Instant;
-import java.util.List;
-import java.util.Optional;
-
 /**
  * What this node knows of the fleet.
  *
@@ -100,7 +100,8 @@
         } else if (!member.status().gone() && !listed) {
             index = index.plus(member.service(), peers.plus(member.id()));
         }
-        boolean ringChanged = known == null || known.status().gone() != member.status().gone();
+        boolean ringChanged =
+                known == null || known.status().gone() != member.status().gone();
         Member me = member.id().equals(self.id()) ? member : self;
         return new MembershipState(
                 me,
@@ -110,9 +111,7 @@
                 neighboursStale || ringChanged,
                 news,
                 pending,
-                member.status() == MemberStatus.SUSPECT
-                        ? suspects
-                        : suspects.minus(member.id()),
+                member.status() == MemberStatus.SUSPECT ? suspects : suspects.minus(member.id()),
                 nextSeq,
                 nextProbeAt,
                 nextRejoinAt,
@@ -121,38 +120,98 @@
 
     MembershipState withNeighbours(List<NodeId> next) {
         return new MembershipState(
-                self, members, services, next, false, news, pending, suspects, nextSeq, nextProbeAt, nextRejoinAt,
+                self,
+                members,
+                services,
+                next,
+                false,
+                news,
+                pending,
+                suspects,
+                nextSeq,
+                nextProbeAt,
+                nextRejoinAt,
                 heardAt);
     }
 
     MembershipState withNews(PVector<News> next) {
         return new MembershipState(
-                self, members, services, neighbours, neighboursStale, next, pending, suspects, nextSeq, nextProbeAt,
-                nextRejoinAt, heardAt);
+                self,
+                members,
+                services,
+                neighbours,
+                neighboursStale,
+                next,
+                pending,
+                suspects,
+                nextSeq,
+                nextProbeAt,
+                nextRejoinAt,
+                heardAt);
     }
 
     MembershipState withPending(PMap<Long, PendingProbe> next, long seq) {
         return new MembershipState(
-                self, members, services, neighbours, neighboursStale, news, next, suspects, seq, nextProbeAt,
-                nextRejoinAt, heardAt);
+                self,
+                members,
+                services,
+                neighbours,
+                neighboursStale,
+                news,
+                next,
+                suspects,
+                seq,
+                nextProbeAt,
+                nextRejoinAt,
+                heardAt);
     }
 
     MembershipState withSuspects(PMap<NodeId, Instant> next) {
         return new MembershipState(
-                self, members, services, neighbours, neighboursStale, news, pending, next, nextSeq, nextProbeAt,
-                nextRejoinAt, heardAt);
+                self,
+                members,
+                services,
+                neighbours,
+                neighboursStale,
+                news,
+                pending,
+                next,
+                nextSeq,
+                nextProbeAt,
+                nextRejoinAt,
+                heardAt);
     }
 
     MembershipState withNextProbeAt(Instant at) {
         return new MembershipState(
-                self, members, services, neighbours, neighboursStale, news, pending, suspects, nextSeq, at,
-                nextRejoinAt, heardAt);
+                self,
+                members,
+                services,
+                neighbours,
+                neighboursStale,
+                news,
+                pending,
+                suspects,
+                nextSeq,
+                at,
+                nextRejoinAt,
+                heardAt);
     }
 
     MembershipState withNextRejoinAt(Instant at) {
         return new MembershipState(
-                self, members, services, neighbours, neighboursStale, news, pending, suspects, nextSeq, nextProbeAt,
-                at, heardAt);
+                self,
+                members,
+                services,
+                neighbours,
+                neighboursStale,
+                news,
+                pending,
+                suspects,
+                nextSeq,
+                nextProbeAt,
+                at,
+                heardAt);
     }
 
     /**
@@ -163,13 +222,33 @@
      */
     public MembershipState withHeardAt(Instant at) {
         return new MembershipState(
-                self, members, services, neighbours, neighboursStale, news, pending, suspects, nextSeq, nextProbeAt,
-                nextRejoinAt, at);
+                self,
+                members,
+                services,
+                neighbours,
+                neighboursStale,
+                news,
+                pending,
+                suspects,
+                nextSeq,
+                nextProbeAt,
+                nextRejoinAt,
+                at);
     }
 
     MembershipState forgotten(NodeId id) {
         return new MembershipState(
-                self, members.minus(id), services, neighbours, neighboursStale, news, pending, suspects.minus(id),
-                nextSeq, nextProbeAt, nextRejoinAt, heardAt);
+                self,
+                members.minus(id),
+                services,
+                neighbours,
+                neighboursStale,
+                news,
+                pending,
+                suspects.minus(id),
+                nextSeq,
+                nextProbeAt,
+                nextRejoinAt,
+                heardAt);
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/PendingProbe.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/PendingProbe.java
@@ -1,9 +1,9 @@
 package org.heatherhaven.core.logic.membership;
 
-import org.heatherhaven.core.model.NodeId;
-
 import java.time.Instant;
 
+import org.heatherhaven.core.model.NodeId;
+
 /**
  * A probe without an answer so far.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/Rings.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/Rings.java
@@ -1,13 +1,13 @@
 package org.heatherhaven.core.logic.membership;
 
-import org.heatherhaven.core.logic.Hashes;
-import org.heatherhaven.core.model.Member;
-import org.heatherhaven.core.model.NodeId;
-
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 
+import org.heatherhaven.core.logic.Hashes;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.NodeId;
+
 /**
  * Chooses whom to probe: the successor in each of a few rings, ordered by independent hashes.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -1,6 +1,11 @@
 package org.heatherhaven.core.logic.node;
 
+import java.time.Duration;
+import java.util.Optional;
+
 import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.event.TrafficEvent.AttemptLost;
+import org.heatherhaven.core.event.TrafficEvent.AttemptRefused;
 import org.heatherhaven.core.logic.admission.GuardLogic;
 import org.heatherhaven.core.logic.call.CallInfo;
 import org.heatherhaven.core.logic.call.EntryCall;
@@ -14,9 +19,6 @@
 import org.heatherhaven.core.model.Refusal;
 import org.heatherhaven.core.model.Signal;
 
-import java.time.Duration;
-import java.util.Optional;
-
 /** Sends a call to targets, one attempt after another, within its retry budget. */
 final class Attempts {
 
@@ -33,14 +35,19 @@
                 step.random(),
                 step.now);
         if (target.isEmpty()) {
-            refuse(step, call, Refusal.notRun(Reason.NO_TARGET, "no target of " + info.route().service() + " is left"));
+            refuse(
+                    step,
+                    call,
+                    Refusal.notRun(
+                            Reason.NO_TARGET, "no target of " + info.route().service() + " is left"));
             return;
         }
         int lent = step.rules.retry().handDown(call.retries());
         EntryCall sent = call.sent(target.get(), lent);
         step.calls = step.calls.with(sent);
         if (sent.attempt() == 1) {
-            step.calls = step.calls.withRatio(step.calls.ratio().called(info.route().service()));
+            step.calls =
+                    step.calls.withRatio(step.calls.ratio().called(info.route().service()));
         }
         step.routing = RoutingLogic.sent(step.routing, target.get(), step.now);
         step.out.add(new Effect.ForwardCall(info.call(), sent.attempt(), target.get(), head(step, sent)));
@@ -66,25 +73,27 @@
     }
 
     /** The target's node refused: try another target if the budget, the deadline and the outcome allow it. */
-    static void refused(Step step, EntryCall call, Refusal refusal, Signal signal) {
+    static void refused(Step step, EntryCall call, AttemptRefused event) {
+        Refusal refusal = event.refusal();
+        Signal signal = event.signal();
         NodeId target = call.target().orElseThrow();
-        boolean targetFailed =
-                refusal.reason() == Reason.TARGET_FAILED || refusal.reason() == Reason.TARGET_OVERLOADED;
+        boolean targetFailed = refusal.reason() == Reason.TARGET_FAILED || refusal.reason() == Reason.TARGET_OVERLOADED;
         step.routing = targetFailed
                 ? RoutingLogic.failed(step.routing, target, step.now)
                 : RoutingLogic.returned(step.routing, target, signal.load(), step.now);
         EntryCall back = hear(step, call, signal);
-        retryOr(step, back, refusal);
+        retryOr(step, back, refusal, event.resendable());
     }
 
     /** An attempt ended without an answer. */
-    static void lost(Step step, EntryCall call, Outcome outcome) {
+    static void lost(Step step, EntryCall call, AttemptLost event) {
+        Outcome outcome = event.outcome();
         step.routing = RoutingLogic.failed(step.routing, call.target().orElseThrow(), step.now);
         EntryCall back = call.cameBack(outcome == Outcome.NOT_RUN ? call.lent() : 0, Signal.COHORTS);
         Refusal refusal = outcome == Outcome.NOT_RUN
                 ? Refusal.notRun(Reason.LINK_LOST, "the node of the target could not be reached")
                 : Refusal.unknown(Reason.LINK_LOST, "the connection to the target's node broke");
-        retryOr(step, back, refusal);
+        retryOr(step, back, refusal, event.resendable());
     }
 
     private static EntryCall hear(Step step, EntryCall call, Signal signal) {
@@ -96,11 +105,11 @@
         return back;
     }
 
-    private static void retryOr(Step step, EntryCall call, Refusal refusal) {
+    private static void retryOr(Step step, EntryCall call, Refusal refusal, boolean resendable) {
         CallInfo info = call.info();
         String service = info.route().service();
         boolean harmless = refusal.outcome() == Outcome.NOT_RUN || !info.unrepeatable();
-        boolean sensible = harmless && refusal.reason().retryable() && step.now.isBefore(info.deadline());
+        boolean sensible = resendable && harmless && refusal.reason().retryable() && step.now.isBefore(info.deadline());
         boolean budgeted = step.rules.retry().allows(call.attempt(), call.retries());
         if (!sensible || !budgeted || !step.calls.ratio().allows(service)) {
             refuse(step, call, refusal);
@@ -128,8 +137,8 @@
         step.note(
                 call.info().requestId(),
                 "answer",
-                call.attempt() + " attempts, " + Duration.between(call.info().arrivedAt(), step.now).toMillis()
-                        + " ms, target " + target,
+                call.attempt() + " attempts, "
+                        + Duration.between(call.info().arrivedAt(), step.now).toMillis() + " ms, target " + target,
                 whole ? "run" : "broken off");
         finish(step, back);
     }
@@ -151,9 +160,7 @@
     static void abandon(Step step, EntryCall call, Reason reason) {
         if (call.stage() == EntryCall.Stage.ANSWER) {
             step.out.add(new Effect.CancelAttempt(call.info().call(), call.attempt()));
-            call.target()
-                    .ifPresent(target -> step.routing =
-                            RoutingLogic.returned(step.routing, target, 0, step.now));
+            call.target().ifPresent(target -> step.routing = RoutingLogic.returned(step.routing, target, 0, step.now));
         }
         step.quota = Borrowing.gone(step.quota, call.info().team(), call.info().call());
         Outcome outcome = CallFlow.outcomeWhenAbandoned(call);
@@ -164,7 +171,7 @@
         step.calls = step.calls.without(call.info().call());
         call.info()
                 .parent()
-                .ifPresent(parent ->
-                        step.guard = GuardLogic.childEnded(step.guard, parent, call.retries(), call.keep()));
+                .ifPresent(
+                        parent -> step.guard = GuardLogic.childEnded(step.guard, parent, call.retries(), call.keep()));
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/CallFlow.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/CallFlow.java
@@ -1,5 +1,9 @@
 package org.heatherhaven.core.logic.node;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
 import org.apache.commons.codec.digest.DigestUtils;
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.event.TrafficEvent.AttemptEnded;
@@ -26,10 +30,6 @@
 import org.heatherhaven.core.model.Signal;
 import org.heatherhaven.core.model.Team;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.Optional;
-
 /** Takes a call from its door to its first attempt: who it is for, whether it may come in. */
 final class CallFlow {
 
@@ -53,8 +53,8 @@
     }
 
     private static String requestId(Step step, long call) {
-        String node = Long.toUnsignedString(
-                Hashes.of(step.rights.self().toString()) >>> Integer.SIZE, Character.MAX_RADIX);
+        String node =
+                Long.toUnsignedString(Hashes.of(step.rights.self().toString()) >>> Integer.SIZE, Character.MAX_RADIX);
         return node + "-" + Long.toString(call, Character.MAX_RADIX);
     }
 
@@ -73,7 +73,9 @@
             refuseUnborn(step, event.call(), requestId, Refusal.notRun(Reason.DRAINING, "this node is leaving"));
             return;
         }
-        Optional<Team> team = event.request().keyHash().filter(key -> !route.open())
+        Optional<Team> team = event.request()
+                .keyHash()
+                .filter(key -> !route.open())
                 .flatMap(key -> step.policy.policy().teamOf(key));
         String name = team.map(Team::name).orElse(NO_TEAM);
         CallInfo info = new CallInfo(
@@ -209,7 +211,8 @@
             var refused = step.quota.refused();
             step.quota = step.quota.drained();
             for (Long number : ready) {
-                find(step, number).filter(call -> call.info().deadline().isAfter(step.now))
+                find(step, number)
+                        .filter(call -> call.info().deadline().isAfter(step.now))
                         .ifPresent(call -> proceed(step, call));
             }
             for (DeniedCall denied : refused) {
@@ -238,13 +241,13 @@
     static void refused(Step step, AttemptRefused event) {
         find(step, event.call())
                 .filter(call -> call.attempt() == event.attempt())
-                .ifPresent(call -> Attempts.refused(step, call, event.refusal(), event.signal()));
+                .ifPresent(call -> Attempts.refused(step, call, event));
     }
 
     static void lost(Step step, AttemptLost event) {
         find(step, event.call())
                 .filter(call -> call.attempt() == event.attempt())
-                .ifPresent(call -> Attempts.lost(step, call, event.outcome()));
+                .ifPresent(call -> Attempts.lost(step, call, event));
     }
 
     static void ended(Step step, AttemptEnded event) {
@@ -267,12 +270,12 @@
     private static void expire(Step step, EntryCall call) {
         switch (call.stage()) {
             case TOKEN -> Attempts.refuse(step, call, Refusal.notRun(Reason.TIMEOUT, "no token came in time"));
-            case PERMIT -> Attempts.refuse(
-                    step, call, Refusal.unknown(Reason.LEDGER_UNAVAILABLE, "the ledger did not answer in time"));
+            case PERMIT ->
+                Attempts.refuse(
+                        step, call, Refusal.unknown(Reason.LEDGER_UNAVAILABLE, "the ledger did not answer in time"));
             case ANSWER -> {
                 step.out.add(new Effect.CancelAttempt(call.info().call(), call.attempt()));
-                call.target().ifPresent(target -> step.routing =
-                        RoutingLogic.failed(step.routing, target, step.now));
+                call.target().ifPresent(target -> step.routing = RoutingLogic.failed(step.routing, target, step.now));
                 Attempts.refuse(step, call, Refusal.unknown(Reason.TIMEOUT, "the deadline passed before the answer"));
             }
             default -> throw new IllegalStateException("stage " + call.stage());
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Draining.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Draining.java
@@ -1,14 +1,14 @@
 package org.heatherhaven.core.logic.node;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.logic.admission.GuardLogic;
 import org.heatherhaven.core.logic.membership.MembershipLogic;
 import org.heatherhaven.core.model.MemberStatus;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.Optional;
-
 /** A planned stop: no new work, everything in flight finished, rights handed over, then away. */
 final class Draining {
 
@@ -23,8 +23,8 @@
         }
         step.drainingSince = Optional.of(step.now);
         step.guard = GuardLogic.drain(step.guard, step.now.plus(step.rules.drainGrace()));
-        step.fleet = MembershipLogic.announceSelf(
-                step.fleet, MemberStatus.DRAINING, step.rumours(), step.now, step.out);
+        step.fleet =
+                MembershipLogic.announceSelf(step.fleet, MemberStatus.DRAINING, step.rumours(), step.now, step.out);
         step.note("node", "drain", step.guard.inFlight() + " calls in flight", "draining");
     }
 
@@ -44,8 +44,7 @@
     }
 
     private static void leave(Step step, boolean idle) {
-        step.fleet =
-                MembershipLogic.announceSelf(step.fleet, MemberStatus.LEFT, step.rumours(), step.now, step.out);
+        step.fleet = MembershipLogic.announceSelf(step.fleet, MemberStatus.LEFT, step.rumours(), step.now, step.out);
         step.out.add(new Effect.RemoveAnnouncement(step.rights.self()));
         step.note("node", "leave", idle ? "nothing in flight" : "the drain limit passed", "left");
         step.out.add(new Effect.Leave());
--- a/core/src/main/java/org/heatherhaven/core/logic/node/HandOvers.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/HandOvers.java
@@ -1,5 +1,9 @@
 package org.heatherhaven.core.logic.node;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.logic.once.OnceLogic;
 import org.heatherhaven.core.logic.quota.Lending;
@@ -13,10 +17,6 @@
 import org.heatherhaven.core.model.Owner;
 import org.heatherhaven.core.model.RightId;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Optional;
-
 /** Passes rights on when their holder leaves, with all that belongs to them. */
 final class HandOvers {
 
@@ -65,8 +65,7 @@
     }
 
     static boolean pending(Step step) {
-        return step.rights.held().stream()
-                .anyMatch(right -> RightsLogic.handingOver(step.rights, right));
+        return step.rights.held().stream().anyMatch(right -> RightsLogic.handingOver(step.rights, right));
     }
 
     static void received(Step step, HandOver page) {
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Incoming.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Incoming.java
@@ -1,5 +1,9 @@
 package org.heatherhaven.core.logic.node;
 
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
 import org.heatherhaven.core.logic.quota.Lending.Remainder;
 import org.heatherhaven.core.message.HandOver;
 import org.heatherhaven.core.model.LedgerEntry;
@@ -7,10 +11,6 @@
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
-import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
-
 /**
  * Pages of a hand-over that have arrived so far.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
@@ -1,5 +1,9 @@
 package org.heatherhaven.core.logic.node;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.event.ControlEvent;
 import org.heatherhaven.core.event.ControlEvent.DrainAsked;
@@ -32,10 +36,6 @@
 import org.heatherhaven.core.logic.rights.RightsLogic;
 import org.heatherhaven.core.model.MemberStatus;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.List;
-
 /**
  * The reducer of a node: from a state and an event to the next state and what shall be done.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeRules.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeRules.java
@@ -1,12 +1,12 @@
 package org.heatherhaven.core.logic.node;
 
+import java.time.Duration;
+
 import org.heatherhaven.core.logic.admission.AdmissionMode;
 import org.heatherhaven.core.logic.once.OnceLogic.LedgerLimits;
 import org.heatherhaven.core.logic.retry.RetryMode;
 import org.heatherhaven.core.logic.routing.RoutingMode;
 
-import java.time.Duration;
-
 /**
  * Settings of a node's decisions.
  *
@@ -71,8 +71,16 @@
      */
     public NodeRules withModes(AdmissionMode nextAdmission, RoutingMode nextRouting, RetryMode nextRetry) {
         return new NodeRules(
-                nextAdmission, nextRouting, nextRetry, ledger, maxCalls, maxChildren, isolationLimit, drainGrace,
-                drainLimit, seed);
+                nextAdmission,
+                nextRouting,
+                nextRetry,
+                ledger,
+                maxCalls,
+                maxChildren,
+                isolationLimit,
+                drainGrace,
+                drainLimit,
+                seed);
     }
 
     /**
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
@@ -1,5 +1,8 @@
 package org.heatherhaven.core.logic.node;
 
+import java.time.Instant;
+import java.util.Optional;
+
 import org.heatherhaven.core.logic.admission.GuardState;
 import org.heatherhaven.core.logic.call.CallsState;
 import org.heatherhaven.core.logic.membership.MembershipState;
@@ -14,9 +17,6 @@
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
-import java.time.Instant;
-import java.util.Optional;
-
 /**
  * All that a node knows.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
@@ -1,6 +1,8 @@
 package org.heatherhaven.core.logic.node;
 
-import org.heatherhaven.core.effect.Effect;
+import java.time.Instant;
+import java.util.Optional;
+
 import org.heatherhaven.core.logic.membership.MembershipLogic;
 import org.heatherhaven.core.logic.once.OnceLogic;
 import org.heatherhaven.core.logic.policy.PolicyLogic;
@@ -27,9 +29,6 @@
 import org.heatherhaven.core.model.RightId;
 import org.heatherhaven.core.model.Team;
 
-import java.time.Instant;
-import java.util.Optional;
-
 /** Hands messages of peers to the parts that they concern. */
 final class PeerTalk {
 
@@ -106,10 +105,10 @@
 
     private static void onLoanAsk(Step step, LoanAsk ask) {
         seekIfUnusable(step, ask.right());
-        Optional<Team> team = Optional.ofNullable(
-                step.policy.policy().teams().get(ask.right().name()));
-        step.quota = Lending.asked(
-                step.quota, step.rights, team, ask, whereElse(step, ask.right()), step.now, step.out);
+        Optional<Team> team =
+                Optional.ofNullable(step.policy.policy().teams().get(ask.right().name()));
+        step.quota =
+                Lending.asked(step.quota, step.rights, team, ask, whereElse(step, ask.right()), step.now, step.out);
     }
 
     private static void onLoanGrant(Step step, LoanGrant grant) {
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Permits.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Permits.java
@@ -1,5 +1,8 @@
 package org.heatherhaven.core.logic.node;
 
+import java.time.Duration;
+import java.util.Optional;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.logic.call.EntryCall;
 import org.heatherhaven.core.logic.call.EntryCall.Stage;
@@ -14,9 +17,6 @@
 import org.heatherhaven.core.model.Refusal;
 import org.heatherhaven.core.model.RightId;
 
-import java.time.Duration;
-import java.util.Optional;
-
 /** Asks the ledger before an unrepeatable request with an idempotency key is sent. */
 final class Permits {
 
@@ -63,13 +63,16 @@
         switch (answer.verdict()) {
             case PERMITTED -> Attempts.send(step, call.withPermit());
             case RAN -> Attempts.refuse(step, call, duplicate(Outcome.RUN, "an earlier submission of this key ran"));
-            case MAY_HAVE_RUN -> Attempts.refuse(
-                    step, call, duplicate(Outcome.UNKNOWN, "an earlier submission of this key may have run"));
-            case FORGOTTEN -> Attempts.refuse(
-                    step,
-                    call,
-                    Refusal.unknown(
-                            Reason.LEDGER_UNAVAILABLE, "the ledger was lost, and an earlier submission may have run"));
+            case MAY_HAVE_RUN ->
+                Attempts.refuse(
+                        step, call, duplicate(Outcome.UNKNOWN, "an earlier submission of this key may have run"));
+            case FORGOTTEN ->
+                Attempts.refuse(
+                        step,
+                        call,
+                        Refusal.unknown(
+                                Reason.LEDGER_UNAVAILABLE,
+                                "the ledger was lost, and an earlier submission may have run"));
             case FULL -> Attempts.refuse(step, call, Refusal.notRun(Reason.LEDGER_FULL, "the ledger is full"));
             case NOT_HELD -> {
                 step.rights = RightsLogic.located(step.rights, answer.right(), answer.askInstead());
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
@@ -1,5 +1,9 @@
 package org.heatherhaven.core.logic.node;
 
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.logic.membership.Rings;
 import org.heatherhaven.core.logic.once.OnceLogic;
@@ -18,10 +22,6 @@
 import org.heatherhaven.core.model.Team;
 import org.heatherhaven.core.model.Zone;
 
-import java.time.Duration;
-import java.util.List;
-import java.util.Optional;
-
 /** What follows from new policy versions, and the duties that a few nodes carry for all. */
 final class Spreading {
 
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
@@ -1,5 +1,11 @@
 package org.heatherhaven.core.logic.node;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
 import org.heatherhaven.core.effect.Decision;
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Outbox;
@@ -18,12 +24,6 @@
 import org.heatherhaven.core.model.RightId;
 import org.pcollections.PMap;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.List;
-import java.util.Optional;
-import java.util.SplittableRandom;
-
 /** The parts of a node's state while one event is worked on; never leaves the step. */
 final class Step {
 
@@ -68,8 +68,23 @@
 
     NodeState finish() {
         return new NodeState(
-                rules, policy, fleet, routing, pressure, guard, calls, rights, quota, once, incoming, drainingSince,
-                now, linkFloor, thawing, duties, steps + 1);
+                rules,
+                policy,
+                fleet,
+                routing,
+                pressure,
+                guard,
+                calls,
+                rights,
+                quota,
+                once,
+                incoming,
+                drainingSince,
+                now,
+                linkFloor,
+                thawing,
+                duties,
+                steps + 1);
     }
 
     NodeId self() {
@@ -90,7 +105,6 @@
     }
 
     void note(String subject, String rule, String measure, String result) {
-        out.add(new Effect.Note(
-                new Decision(subject, now, policy.policy().version(), rule, measure, result)));
+        out.add(new Effect.Note(new Decision(subject, now, policy.policy().version(), rule, measure, result)));
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/once/Ledger.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/once/Ledger.java
@@ -1,14 +1,14 @@
 package org.heatherhaven.core.logic.once;
 
+import java.time.Duration;
+import java.time.Instant;
+
 import org.heatherhaven.core.model.Owner;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
 
-import java.time.Duration;
-import java.time.Instant;
-
 /**
  * What the holder of a slot knows of its idempotency keys.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/once/OnceLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/once/OnceLogic.java
@@ -1,5 +1,11 @@
 package org.heatherhaven.core.logic.once;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Outbox;
 import org.heatherhaven.core.logic.Hashes;
@@ -16,12 +22,6 @@
 import org.heatherhaven.core.model.Owner;
 import org.heatherhaven.core.model.RightId;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Optional;
-
 /**
  * Reducer of the ledgers.
  *
@@ -68,7 +68,8 @@
             Instant now,
             Outbox out) {
         if (!rights.usable(ask.right(), now)) {
-            Optional<NodeId> hint = elsewhere.filter(node -> !node.equals(rights.self().node()));
+            Optional<NodeId> hint =
+                    elsewhere.filter(node -> !node.equals(rights.self().node()));
             reply(ask, Verdict.NOT_HELD, hint, out);
             return state;
         }
@@ -108,8 +109,7 @@
         out.add(new Effect.Send(ask.asker().node(), new PermitAnswer(ask.right(), ask.seq(), verdict, hint)));
     }
 
-    private static Ledger ledgerOf(
-            OnceState state, RightId slot, RightState held, LedgerLimits limits, Instant now) {
+    private static Ledger ledgerOf(OnceState state, RightId slot, RightState held, LedgerLimits limits, Instant now) {
         Ledger known = state.ledgers().get(slot);
         long term = held.term().orElseThrow();
         if (known != null && known.term() == term) {
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/PatchRules.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PatchRules.java
@@ -1,11 +1,5 @@
 package org.heatherhaven.core.logic.policy;
 
-import org.heatherhaven.core.logic.policy.PolicyException.Code;
-import org.heatherhaven.core.model.KeyGrant;
-import org.heatherhaven.core.model.PolicyPatch;
-import org.heatherhaven.core.model.Route;
-import org.heatherhaven.core.model.Team;
-
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,6 +7,12 @@
 import java.util.Set;
 import java.util.regex.Pattern;
 
+import org.heatherhaven.core.logic.policy.PolicyException.Code;
+import org.heatherhaven.core.model.KeyGrant;
+import org.heatherhaven.core.model.PolicyPatch;
+import org.heatherhaven.core.model.Route;
+import org.heatherhaven.core.model.Team;
+
 /** What a patch must satisfy; the same rules hold where it is accepted and where it is applied. */
 final class PatchRules {
 
@@ -44,7 +44,10 @@
 
     private static void checkTeam(Policy policy, Team team) {
         require(NAME.matcher(team.name()).matches(), Code.BAD_VALUE, "team name '" + team.name() + "' is not a name");
-        require(team.rate() > 0 && team.rate() <= MAX_RATE, Code.BAD_VALUE, "rate of " + team.name() + " is not in range");
+        require(
+                team.rate() > 0 && team.rate() <= MAX_RATE,
+                Code.BAD_VALUE,
+                "rate of " + team.name() + " is not in range");
         require(team.shares() >= 1 && team.shares() <= MAX_SHARES, Code.BAD_VALUE, "shares of " + team.name());
         require(
                 team.shareBurst() >= MIN_SHARE_BURST && team.burst() <= MAX_RATE,
@@ -59,7 +62,10 @@
     }
 
     private static void checkRoute(Route route) {
-        require(NAME.matcher(route.name()).matches(), Code.BAD_VALUE, "route name '" + route.name() + "' is not a name");
+        require(
+                NAME.matcher(route.name()).matches(),
+                Code.BAD_VALUE,
+                "route name '" + route.name() + "' is not a name");
         require(NAME.matcher(route.service()).matches(), Code.BAD_VALUE, "service of route " + route.name());
         require(PATH.matcher(route.path()).matches(), Code.BAD_VALUE, "path of route " + route.name());
         require(
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/Policy.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/Policy.java
@@ -1,5 +1,8 @@
 package org.heatherhaven.core.logic.policy;
 
+import java.util.List;
+import java.util.Optional;
+
 import org.heatherhaven.core.model.KeyGrant;
 import org.heatherhaven.core.model.PolicySnapshot;
 import org.heatherhaven.core.model.PolicyVersion;
@@ -8,9 +11,6 @@
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
-import java.util.List;
-import java.util.Optional;
-
 /**
  * The rules in force, as one immutable value.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyLogic.java
@@ -1,5 +1,10 @@
 package org.heatherhaven.core.logic.policy;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Effect.PatchVerdict;
 import org.heatherhaven.core.effect.Outbox;
@@ -13,11 +18,6 @@
 import org.heatherhaven.core.model.PolicyVersion;
 import org.pcollections.PVector;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.List;
-import java.util.Optional;
-
 /**
  * Reducer of the policy: commits patches by one conditional creation, and only ever moves forward.
  *
@@ -68,8 +68,7 @@
             return reject(state, patch, e.getMessage(), out);
         }
         out.add(new Effect.WritePolicy(next));
-        return state.withSubmission(
-                Optional.of(new Submission(next, now.plus(COMMIT_LIMIT), now.plus(COMMIT_LIMIT))));
+        return state.withSubmission(Optional.of(new Submission(next, now.plus(COMMIT_LIMIT), now.plus(COMMIT_LIMIT))));
     }
 
     /**
@@ -151,7 +150,8 @@
         if (pull.after() >= version) {
             return;
         }
-        long oldest = state.recent().isEmpty() ? version + 1 : state.recent().get(0).version();
+        long oldest =
+                state.recent().isEmpty() ? version + 1 : state.recent().get(0).version();
         boolean covered = pull.after() + 1 >= oldest;
         Optional<PolicySnapshot> snapshot =
                 covered ? Optional.empty() : Optional.of(state.policy().toSnapshot());
@@ -205,8 +205,7 @@
     public static PolicyState tick(PolicyState state, boolean watcher, Instant now, Outbox out) {
         PolicyState next = state;
         if (watcher && !state.reading() && !now.isBefore(state.readAt())) {
-            out.add(new Effect.ReadPolicy(
-                    state.policy().version(), state.policy().version() > 0));
+            out.add(new Effect.ReadPolicy(state.policy().version()));
             next = next.withRead(now, true);
         }
         return tickSubmission(next, now, out);
@@ -238,8 +237,7 @@
             PolicyState state, Optional<PolicySnapshot> snapshot, List<PolicyVersion> versions, Outbox out) {
         PolicyState next = state;
         if (snapshot.isPresent() && snapshot.get().version() > state.policy().version()) {
-            next = next.withPolicy(
-                    Policy.of(snapshot.get()), next.recent().minusAll(next.recent()));
+            next = next.withPolicy(Policy.of(snapshot.get()), next.recent().minusAll(next.recent()));
         }
         for (PolicyVersion version : versions) {
             next = advance(next, version, out);
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyState.java
@@ -1,12 +1,12 @@
 package org.heatherhaven.core.logic.policy;
 
+import java.time.Instant;
+import java.util.Optional;
+
 import org.heatherhaven.core.model.PolicyVersion;
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
 
-import java.time.Instant;
-import java.util.Optional;
-
 /**
  * The policy in force at this node and what it knows of newer ones.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/Submission.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/Submission.java
@@ -1,9 +1,9 @@
 package org.heatherhaven.core.logic.policy;
 
-import org.heatherhaven.core.model.PolicyVersion;
-
 import java.time.Instant;
 
+import org.heatherhaven.core.model.PolicyVersion;
+
 /**
  * A patch on its way to becoming a version.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/pressure/PressureState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/pressure/PressureState.java
@@ -1,13 +1,13 @@
 package org.heatherhaven.core.logic.pressure;
 
+import java.time.Duration;
+import java.time.Instant;
+
 import org.heatherhaven.core.model.Importance;
 import org.heatherhaven.core.model.Signal;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
-import java.time.Duration;
-import java.time.Instant;
-
 /**
  * How many cohorts each route can serve for each team, as reported with recent answers.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
@@ -1,5 +1,10 @@
 package org.heatherhaven.core.logic.quota;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Outbox;
 import org.heatherhaven.core.logic.Hashes;
@@ -14,11 +19,6 @@
 import org.heatherhaven.core.model.Team;
 import org.pcollections.PMap;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.Map;
-import java.util.Optional;
-
 /** The side of a node where a team's calls enter. */
 public final class Borrowing {
 
@@ -50,7 +50,8 @@
      */
     public static QuotaState arrived(QuotaState state, long call, Team team, Context context, Outbox out) {
         Instant now = context.now();
-        Wallet wallet = state.wallets().getOrDefault(team.name(), Wallet.start(now)).arrived(now);
+        Wallet wallet =
+                state.wallets().getOrDefault(team.name(), Wallet.start(now)).arrived(now);
         Optional<Wallet> spent = wallet.waiters().isEmpty() ? wallet.spend(now) : Optional.empty();
         if (spent.isPresent()) {
             QuotaState next = state.withWallet(team.name(), spent.get()).withReady(call);
@@ -59,8 +60,7 @@
         }
         boolean hopeless = allDenied(wallet, team, now.plus(TOKEN_WAIT));
         if (hopeless || wallet.waiters().size() >= MAX_WAITERS) {
-            return state.withWallet(team.name(), wallet)
-                    .withRefused(new DeniedCall(call, true, earliest(wallet, now)));
+            return state.withWallet(team.name(), wallet).withRefused(new DeniedCall(call, true, earliest(wallet, now)));
         }
         Wallet queued = wallet.withWaiters(wallet.waiters().plus(new Waiter(call, now.plus(TOKEN_WAIT))));
         return ask(state.withWallet(team.name(), queued), team, context, out);
@@ -252,7 +252,8 @@
         }
         for (Waiter waiter : wallet.waiters()) {
             if (waiter.call() == call) {
-                return state.withWallet(team, wallet.withWaiters(wallet.waiters().minus(waiter)));
+                return state.withWallet(
+                        team, wallet.withWaiters(wallet.waiters().minus(waiter)));
             }
         }
         return state;
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Bucket.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Bucket.java
@@ -1,15 +1,15 @@
 package org.heatherhaven.core.logic.quota;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+
 import org.heatherhaven.core.logic.rights.RightsLogic;
 import org.heatherhaven.core.model.Owner;
 import org.heatherhaven.core.model.Team;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.Map;
-
 /**
  * The bucket of one share at its holder.
  *
@@ -76,8 +76,7 @@
                 loans = loans.minus(seq);
             }
         }
-        return new Bucket(
-                term, tokens, refilledAt, borrowers.plus(owner, new Borrower(borrower.lastSeq(), loans)));
+        return new Bucket(term, tokens, refilledAt, borrowers.plus(owner, new Borrower(borrower.lastSeq(), loans)));
     }
 
     Bucket lend(Owner owner, long seq, int amount, Duration life, Instant now) {
@@ -93,7 +92,8 @@
         Loan loan = new Loan(lent, now.plus(RightsLogic.withDrift(RightsLogic.LONGEST_LOAN)));
         PMap<Owner, Borrower> next = lent <= 0
                 ? borrowers
-                : borrowers.plus(from, new Borrower(0, HashTreePMap.<Long, Loan>empty().plus(0L, loan)));
+                : borrowers.plus(
+                        from, new Borrower(0, HashTreePMap.<Long, Loan>empty().plus(0L, loan)));
         return new Bucket(term, tokens + left, refilledAt, next);
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/HeldLoan.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/HeldLoan.java
@@ -1,9 +1,9 @@
 package org.heatherhaven.core.logic.quota;
 
-import org.heatherhaven.core.model.RightId;
-
 import java.time.Instant;
 
+import org.heatherhaven.core.model.RightId;
+
 /**
  * Tokens that this node has borrowed.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Lending.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Lending.java
@@ -1,5 +1,9 @@
 package org.heatherhaven.core.logic.quota;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Outbox;
 import org.heatherhaven.core.logic.rights.Acquisition;
@@ -13,10 +17,6 @@
 import org.heatherhaven.core.model.RightId;
 import org.heatherhaven.core.model.Team;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.Optional;
-
 /** The holder's side of a share. */
 public final class Lending {
 
@@ -59,7 +59,8 @@
             Outbox out) {
         RightId right = ask.right();
         if (team.isEmpty() || !rights.usable(right, now)) {
-            Optional<NodeId> hint = elsewhere.filter(node -> !node.equals(rights.self().node()));
+            Optional<NodeId> hint =
+                    elsewhere.filter(node -> !node.equals(rights.self().node()));
             reply(ask, new LoanGrant(right, ask.seq(), 0, 0, 0, false, hint), out);
             return state;
         }
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/QuotaState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/QuotaState.java
@@ -1,13 +1,13 @@
 package org.heatherhaven.core.logic.quota;
 
+import java.time.Instant;
+
 import org.heatherhaven.core.model.RightId;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
 
-import java.time.Instant;
-
 /**
  * Tokens that this node lends and borrows.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Wallet.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Wallet.java
@@ -1,14 +1,14 @@
 package org.heatherhaven.core.logic.quota;
 
+import java.time.Instant;
+import java.util.Optional;
+
 import org.heatherhaven.core.model.RightId;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
 
-import java.time.Instant;
-import java.util.Optional;
-
 /**
  * The tokens of one team at a node where its calls enter.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/rights/RightState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/rights/RightState.java
@@ -1,12 +1,12 @@
 package org.heatherhaven.core.logic.rights;
 
+import java.time.Instant;
+import java.util.Optional;
+
 import org.heatherhaven.core.model.Grant;
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.Owner;
 
-import java.time.Instant;
-import java.util.Optional;
-
 /**
  * What a node that is holder or standby knows of a right.
  *
--- a/core/src/main/java/org/heatherhaven/core/logic/rights/RightsLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/rights/RightsLogic.java
@@ -1,5 +1,14 @@
 package org.heatherhaven.core.logic.rights;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Outbox;
 import org.heatherhaven.core.event.PlatformEvent.GrantSeen;
@@ -17,15 +26,6 @@
 import org.heatherhaven.core.model.Zone;
 import org.pcollections.PMap;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.function.Predicate;
-
 /**
  * Reducer of the exclusive rights.
  *
@@ -107,7 +107,9 @@
         List<Member> able = fleet.members().values().stream()
                 .filter(member -> member.status().takesWork())
                 .toList();
-        return Rings.rendezvous("right|" + right, able, 1).stream().map(Member::id).findFirst();
+        return Rings.rendezvous("right|" + right, able, 1).stream()
+                .map(Member::id)
+                .findFirst();
     }
 
     /**
@@ -187,16 +189,17 @@
      * @param out takes the effects
      * @return the new state
      */
-    public static RightsState seen(
-            RightsState state, GrantSeen seen, MembershipState fleet, Instant now, Outbox out) {
+    public static RightsState seen(RightsState state, GrantSeen seen, MembershipState fleet, Instant now, Outbox out) {
         RightsState next = state.withReading(state.reading().plus(seen.right(), now.plus(READ_PAUSE)));
         Optional<RightState> known = next.find(seen.right());
-        if (known.isPresent() && known.get().grant().generation() >= seen.grant().generation()) {
+        if (known.isPresent()
+                && known.get().grant().generation() >= seen.grant().generation()) {
             return act(next, seen.right(), fleet, now, out);
         }
         Owner self = state.self();
         boolean holder = seen.grant().holder().node().equals(self.node());
-        boolean standby = seen.grant().standby()
+        boolean standby = seen.grant()
+                .standby()
                 .filter(owner -> owner.node().equals(self.node()))
                 .isPresent();
         if (!holder && !standby) {
@@ -217,9 +220,7 @@
         Grant grant = seen.grant();
         boolean mine = grant.holder().equals(self);
         boolean kept = mine && known.filter(before -> before.heldBy(self)).isPresent();
-        Optional<Long> term = kept
-                ? known.get().term()
-                : mine ? Optional.of(grant.generation()) : Optional.empty();
+        Optional<Long> term = kept ? known.get().term() : mine ? Optional.of(grant.generation()) : Optional.empty();
         boolean handed = Optional.ofNullable(state.handed().get(seen.right()))
                 .filter(generation -> generation + 1 == grant.generation())
                 .isPresent();
@@ -248,8 +249,7 @@
     }
 
     /** Does what the latest view of the object calls for; an update is sent only right after a read. */
-    private static RightsState act(
-            RightsState state, RightId right, MembershipState fleet, Instant now, Outbox out) {
+    private static RightsState act(RightsState state, RightId right, MembershipState fleet, Instant now, Outbox out) {
         Optional<RightState> found = state.find(right);
         if (found.isEmpty()) {
             return state;
@@ -364,7 +364,9 @@
         for (Map.Entry<RightId, RightState> entry : state.rights().entrySet()) {
             RightState known = entry.getValue();
             boolean due = !now.isBefore(known.retryAt());
-            if (due && (known.writing() || wanted(next, entry.getKey(), known, fleet, now).isPresent())) {
+            if (due
+                    && (known.writing()
+                            || wanted(next, entry.getKey(), known, fleet, now).isPresent())) {
                 // Reading first keeps a pair alive through an outage: an update that can't be settled would end it.
                 next = lookUp(next, entry.getKey(), now, out);
             }
@@ -388,9 +390,11 @@
         for (Map.Entry<RightId, RightState> entry : state.rights().entrySet()) {
             RightState known = entry.getValue();
             if (known.heldBy(state.self()) && !known.writing() && !known.released()) {
-                known.grant().standby().ifPresent(standby -> claims.computeIfAbsent(
-                                standby.node(), any -> new ArrayList<>())
-                        .add(new RightClaim(entry.getKey(), known.grant().generation())));
+                known.grant()
+                        .standby()
+                        .ifPresent(standby -> claims.computeIfAbsent(standby.node(), any -> new ArrayList<>())
+                                .add(new RightClaim(
+                                        entry.getKey(), known.grant().generation())));
             }
         }
         PMap<Long, Instant> asks = state.asks();
@@ -405,9 +409,8 @@
             asks = asks.plus(seq, now);
             seq++;
         }
-        boolean waiting = claims.values().stream()
-                .flatMap(List::stream)
-                .anyMatch(claim -> !state.usable(claim.right(), now));
+        boolean waiting =
+                claims.values().stream().flatMap(List::stream).anyMatch(claim -> !state.usable(claim.right(), now));
         return state.withAsks(asks, seq, now.plus(waiting ? UNUSABLE_ASK_INTERVAL : ASK_INTERVAL));
     }
 
@@ -425,8 +428,7 @@
         List<RightClaim> given = new ArrayList<>();
         for (RightClaim claim : ask.claims()) {
             Optional<RightState> known = next.find(claim.right());
-            boolean current = known.filter(
-                            right -> right.grant().generation() >= claim.generation())
+            boolean current = known.filter(right -> right.grant().generation() >= claim.generation())
                     .isPresent();
             if (!current) {
                 next = lookUp(next, claim.right(), now, out);
--- a/core/src/main/java/org/heatherhaven/core/logic/rights/RightsState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/rights/RightsState.java
@@ -1,5 +1,8 @@
 package org.heatherhaven.core.logic.rights;
 
+import java.time.Instant;
+import java.util.Optional;
+
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.Owner;
 import org.heatherhaven.core.model.RightId;
@@ -8,9 +11,6 @@
 import org.pcollections.PMap;
 import org.pcollections.PSet;
 
-import java.time.Instant;
-import java.util.Optional;
-
 /**
  * The rights that concern this process.
  *
@@ -95,13 +95,27 @@
 
     RightsState with(RightId right, RightState state) {
         return new RightsState(
-                self, startedAt, rights.plus(right, state), locations.minus(right), reading, handed, asks, nextSeq,
+                self,
+                startedAt,
+                rights.plus(right, state),
+                locations.minus(right),
+                reading,
+                handed,
+                asks,
+                nextSeq,
                 nextAskAt);
     }
 
     RightsState without(RightId right) {
         return new RightsState(
-                self, startedAt, rights.minus(right), locations, reading, handed.minus(right), asks, nextSeq,
+                self,
+                startedAt,
+                rights.minus(right),
+                locations,
+                reading,
+                handed.minus(right),
+                asks,
+                nextSeq,
                 nextAskAt);
     }
 
--- a/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
@@ -1,10 +1,5 @@
 package org.heatherhaven.core.logic.routing;
 
-import org.heatherhaven.core.logic.membership.MembershipState;
-import org.heatherhaven.core.model.Member;
-import org.heatherhaven.core.model.NodeId;
-import org.heatherhaven.core.model.Zone;
-
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -13,6 +8,11 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
+import org.heatherhaven.core.logic.membership.MembershipState;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Zone;
+
 /** Chooses targets and learns from how calls end there. */
 public final class RoutingLogic {
 
@@ -90,9 +90,8 @@
 
     private static Member better(
             RoutingState state, Zone home, List<Member> members, SplittableRandom random, Instant now) {
-        List<Member> local = members.stream()
-                .filter(member -> member.zone().equals(home))
-                .toList();
+        List<Member> local =
+                members.stream().filter(member -> member.zone().equals(home)).toList();
         List<Member> firstPool = local.isEmpty() ? members : local;
         Member first = firstPool.get(random.nextInt(firstPool.size()));
         Member second = members.get(random.nextInt(members.size()));
@@ -131,8 +130,7 @@
     public static RoutingState succeeded(RoutingState state, NodeId target, int load, Instant now) {
         TargetStats stats = state.of(target, now);
         return state.with(
-                target,
-                stats.withInFlight(stats.inFlight() - 1).withLoad(load).withFailures(0, stats.avoidUntil()));
+                target, stats.withInFlight(stats.inFlight() - 1).withLoad(load).withFailures(0, stats.avoidUntil()));
     }
 
     /**
--- a/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingState.java
@@ -1,11 +1,11 @@
 package org.heatherhaven.core.logic.routing;
 
+import java.time.Instant;
+
 import org.heatherhaven.core.model.NodeId;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
-import java.time.Instant;
-
 /**
  * What an entry node has seen of the targets that it routes to.
  *
--- a/core/src/main/java/org/heatherhaven/core/message/HandOver.java
+++ b/core/src/main/java/org/heatherhaven/core/message/HandOver.java
@@ -1,11 +1,11 @@
 package org.heatherhaven.core.message;
 
+import java.util.List;
+
 import org.heatherhaven.core.model.LedgerEntry;
 import org.heatherhaven.core.model.Owner;
 import org.heatherhaven.core.model.RightId;
 
-import java.util.List;
-
 /**
  * A leaving holder passes a right and what is left of it to its standby.
  *
--- a/core/src/main/java/org/heatherhaven/core/message/MembersPage.java
+++ b/core/src/main/java/org/heatherhaven/core/message/MembersPage.java
@@ -1,10 +1,10 @@
 package org.heatherhaven.core.message;
 
+import java.util.List;
+
 import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.NodeId;
 
-import java.util.List;
-
 /**
  * One page of the member table.
  *
--- a/core/src/main/java/org/heatherhaven/core/message/PermitAnswer.java
+++ b/core/src/main/java/org/heatherhaven/core/message/PermitAnswer.java
@@ -1,10 +1,10 @@
 package org.heatherhaven.core.message;
 
+import java.util.Optional;
+
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.RightId;
 
-import java.util.Optional;
-
 /**
  * Answers a question for a permit.
  *
--- a/core/src/main/java/org/heatherhaven/core/message/PolicyPage.java
+++ b/core/src/main/java/org/heatherhaven/core/message/PolicyPage.java
@@ -1,11 +1,11 @@
 package org.heatherhaven.core.message;
 
-import org.heatherhaven.core.model.PolicySnapshot;
-import org.heatherhaven.core.model.PolicyVersion;
-
 import java.util.List;
 import java.util.Optional;
 
+import org.heatherhaven.core.model.PolicySnapshot;
+import org.heatherhaven.core.model.PolicyVersion;
+
 /**
  * Policy versions in order, led by a snapshot if the asker is too far behind.
  *
--- a/core/src/main/java/org/heatherhaven/core/message/PromiseAsk.java
+++ b/core/src/main/java/org/heatherhaven/core/message/PromiseAsk.java
@@ -1,10 +1,10 @@
 package org.heatherhaven.core.message;
 
+import java.util.List;
+
 import org.heatherhaven.core.model.Owner;
 import org.heatherhaven.core.model.RightClaim;
 
-import java.util.List;
-
 /**
  * A holder asks its standby not to take over for a while.
  *
--- a/core/src/main/java/org/heatherhaven/core/message/PromiseGive.java
+++ b/core/src/main/java/org/heatherhaven/core/message/PromiseGive.java
@@ -1,10 +1,10 @@
 package org.heatherhaven.core.message;
 
+import java.util.List;
+
 import org.heatherhaven.core.model.Owner;
 import org.heatherhaven.core.model.RightClaim;
 
-import java.util.List;
-
 /**
  * A standby promises not to take over.
  *
--- a/core/src/main/java/org/heatherhaven/core/message/Rumours.java
+++ b/core/src/main/java/org/heatherhaven/core/message/Rumours.java
@@ -1,9 +1,9 @@
 package org.heatherhaven.core.message;
 
-import org.heatherhaven.core.model.Member;
-
 import java.util.List;
 
+import org.heatherhaven.core.model.Member;
+
 /**
  * News that travels with every probe and answer.
  *
--- a/core/src/main/java/org/heatherhaven/core/model/Member.java
+++ b/core/src/main/java/org/heatherhaven/core/model/Member.java
@@ -11,8 +11,7 @@
  * @param service service of the target it guards, empty for a node without a target
  * @param slots number of calls its target works on at a time
  */
-public record Member(
-        NodeId id, long epoch, int refutation, MemberStatus status, Zone zone, String service, int slots) {
+public record Member(NodeId id, long epoch, int refutation, MemberStatus status, Zone zone, String service, int slots) {
 
     /**
      * Copies this member with another status.
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
@@ -0,0 +1,218 @@
+package org.heatherhaven.node;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.heatherhaven.core.event.ControlEvent;
+import org.heatherhaven.core.event.Event;
+import org.heatherhaven.core.event.TrafficEvent.Door;
+import org.heatherhaven.core.logic.node.NodeState;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.MemberStatus;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.node.control.ControlLoop;
+import org.heatherhaven.node.control.Mailbox;
+import org.heatherhaven.node.control.SteadyClock;
+import org.heatherhaven.node.entry.CallerServer;
+import org.heatherhaven.node.entry.EntryCalls;
+import org.heatherhaven.node.metrics.NodeMetrics;
+import org.heatherhaven.node.operator.DecisionLog;
+import org.heatherhaven.node.operator.OperatorDesk;
+import org.heatherhaven.node.operator.OperatorServer;
+import org.heatherhaven.node.operator.PatchDesk;
+import org.heatherhaven.node.peer.PeerLinks;
+import org.heatherhaven.node.peer.PeerServer;
+import org.heatherhaven.node.peer.PeerSettings;
+import org.heatherhaven.node.platform.HttpPlatform;
+import org.heatherhaven.node.platform.PlatformGateway;
+import org.heatherhaven.node.settings.NodeSettings;
+import org.heatherhaven.node.target.GuardedCalls;
+import org.heatherhaven.node.target.TargetClient;
+import org.heatherhaven.node.wire.FleetSecrets;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One node: listeners, connections, the control thread, and their orderly start and end. */
+public final class NodeDaemon {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(NodeDaemon.class);
+    private static final int DECISIONS_KEPT = 4_096;
+    private static final Duration ANNOUNCE_RETRY = Duration.ofSeconds(1);
+    private static final Duration LAST_WORDS = Duration.ofMillis(300);
+
+    private final NodeSettings settings;
+    private final SteadyClock clock = new SteadyClock();
+    private final NodeMetrics metrics = new NodeMetrics();
+    private final Mailbox<Event> mailbox;
+    private final EventLoopGroup group;
+    private final Member self;
+    private final PeerLinks peers;
+    private final PeerServer peerServer;
+    private final TargetClient target;
+    private final HttpPlatform httpPlatform;
+    private final PlatformGateway platform;
+    private final CallerServer callers;
+    private final CallerServer targetCalls;
+    private final OperatorServer operators;
+    private final ControlLoop loop;
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private final CountDownLatch left = new CountDownLatch(1);
+
+    /**
+     * Creates a node that has not started.
+     *
+     * @param settings its settings
+     */
+    public NodeDaemon(NodeSettings settings) {
+        this.settings = settings;
+        this.mailbox = new Mailbox<>(settings.mailboxCapacity());
+        this.group = new NioEventLoopGroup(settings.threads(), new DefaultThreadFactory("traffic", true));
+        this.self = new Member(
+                new NodeId(settings.peers().getHostString() + ":"
+                        + settings.peers().getPort()),
+                clock.instant().toEpochMilli(),
+                0,
+                MemberStatus.ALIVE,
+                settings.zone(),
+                settings.target().service(),
+                settings.target().slots());
+        TlsContexts tls = TlsContexts.of(settings.tls());
+        PeerSettings peerSettings = new PeerSettings(
+                self.owner(),
+                new FleetSecrets(settings.secrets()),
+                settings.maxFrameBytes(),
+                tls.peerServer(),
+                tls.peerClient());
+        this.peers = new PeerLinks(peerSettings, group, clock);
+        GuardedCalls guarded = new GuardedCalls(mailbox, metrics::countPeerTurnedAway);
+        this.peerServer = new PeerServer(peerSettings, guarded);
+        this.target = new TargetClient(settings.target(), group);
+        this.httpPlatform =
+                new HttpPlatform(settings.platformUrl(), settings.platformTimeout(), group, metrics::countPlatformCall);
+        this.platform = new PlatformGateway(httpPlatform, clock, mailbox::put);
+        EntryCalls entered = new EntryCalls(mailbox, peers, metrics::countRefusal);
+        this.callers = new CallerServer(Door.CALLER, settings.entry(), entered, tls.callers());
+        this.targetCalls = new CallerServer(Door.TARGET, settings.entry(), entered, Optional.empty());
+        DecisionLog decisions = new DecisionLog(DECISIONS_KEPT);
+        PatchDesk patches = new PatchDesk(mailbox::put);
+        Interpreter interpreter = new Interpreter(
+                self.owner(),
+                mailbox,
+                new Interpreter.Parts(
+                        peers,
+                        peerServer,
+                        guarded,
+                        target,
+                        entered,
+                        platform,
+                        metrics,
+                        decisions,
+                        patches,
+                        this::leave));
+        NodeState start = NodeState.start(settings.rules(), self, clock.instant());
+        this.loop = new ControlLoop(start, mailbox, clock, interpreter);
+        this.operators = new OperatorServer(
+                new OperatorDesk(loop::state, clock, metrics, decisions, patches, this::drain),
+                settings.operatorToken());
+        metrics.gauge("control.mailbox", mailbox::size);
+        metrics.gauge("peers.connections", peers::size);
+        metrics.gauge("calls.entered", () -> loop.state().calls().calls().size());
+        metrics.gauge("calls.running", () -> loop.state().guard().running().size());
+        metrics.gauge("calls.queued", () -> loop.state().guard().queue().size());
+        metrics.gauge("policy.version", () -> loop.state().policy().policy().version());
+    }
+
+    /** Starts to listen, announces the node, and begins to work. */
+    public void start() {
+        peerServer.listen(group, settings.peers());
+        operators.listen(group, settings.operators());
+        Thread control = new Thread(loop, "control");
+        control.setDaemon(true);
+        control.start();
+        announce();
+        targetCalls.listen(group, settings.targetCalls());
+        callers.listen(group, settings.callers());
+        LOGGER.info(
+                "Node {} of service {} in zone {} takes calls at {}",
+                self.id(),
+                self.service(),
+                self.zone(),
+                settings.callers());
+    }
+
+    private void announce() {
+        platform.announce(self).whenComplete((done, failure) -> {
+            platform.listMembers(self.id());
+            if (failure != null || !done) {
+                LOGGER.warn("The node could not be announced on the platform; trying again");
+                group.schedule(this::announce, ANNOUNCE_RETRY.toMillis(), TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    /** Begins a planned stop: no new work, everything in flight is finished, then the node leaves. */
+    public void drain() {
+        mailbox.put(new ControlEvent.DrainAsked());
+    }
+
+    private void leave() {
+        if (ended.compareAndSet(false, true)) {
+            callers.stopListening();
+            // The last probes carry the word that this node has left.
+            group.schedule(left::countDown, LAST_WORDS.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /**
+     * Waits until a planned stop is finished.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void awaitLeft() throws InterruptedException {
+        left.await();
+    }
+
+    /** Ends the node at once, finished or not. */
+    public void stop() {
+        ended.set(true);
+        loop.stop();
+        callers.close();
+        targetCalls.close();
+        operators.close();
+        peerServer.close();
+        peers.close();
+        try {
+            target.close();
+        } catch (IOException e) {
+            LOGGER.debug("The target's client did not close: {}", e.getMessage());
+        }
+        httpPlatform.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        left.countDown();
+    }
+
+    /**
+     * The latest state, for tests and measurements.
+     *
+     * @return an immutable state
+     */
+    public NodeState state() {
+        return loop.state();
+    }
+
+    /**
+     * What the node counts.
+     *
+     * @return the metrics
+     */
+    public NodeMetrics metrics() {
+        return metrics;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/TlsContexts.java
@@ -0,0 +1,48 @@
+package org.heatherhaven.node;
+
+import javax.net.ssl.SSLException;
+
+import java.util.Optional;
+
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import org.heatherhaven.node.settings.NodeSettings.TlsFiles;
+import org.heatherhaven.node.settings.SettingsException;
+
+/**
+ * TLS of the node's listeners and connections.
+ *
+ * @param callers for callers, if configured
+ * @param peerServer for peers that connect, if configured; they must present a certificate
+ * @param peerClient for peers that are connected to, if configured
+ */
+record TlsContexts(Optional<SslContext> callers, Optional<SslContext> peerServer, Optional<SslContext> peerClient) {
+
+    static TlsContexts of(Optional<TlsFiles> files) {
+        if (files.isEmpty()) {
+            return new TlsContexts(Optional.empty(), Optional.empty(), Optional.empty());
+        }
+        TlsFiles tls = files.get();
+        try {
+            SslContext callers = SslContextBuilder.forServer(
+                            tls.certificate().toFile(), tls.key().toFile())
+                    .build();
+            SslContext server = SslContextBuilder.forServer(
+                            tls.certificate().toFile(), tls.key().toFile())
+                    .trustManager(tls.authority().toFile())
+                    .clientAuth(ClientAuth.REQUIRE)
+                    .build();
+            SslContext client = SslContextBuilder.forClient()
+                    .keyManager(tls.certificate().toFile(), tls.key().toFile())
+                    .trustManager(tls.authority().toFile())
+                    // Nodes are known by address and fleet secret, not by name.
+                    .endpointIdentificationAlgorithm(null)
+                    .build();
+            return new TlsContexts(Optional.of(callers), Optional.of(server), Optional.of(client));
+        } catch (SSLException | IllegalArgumentException e) {
+            throw new SettingsException(
+                    SettingsException.Code.BAD_VALUE, "tls: the files can't be used: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/metrics/NodeMetrics.java
@@ -0,0 +1,100 @@
+package org.heatherhaven.node.metrics;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.model.Reason;
+
+/** What a node counts; a counter for each reason of refusals and retries. */
+public final class NodeMetrics {
+
+    private final MetricRegistry registry = new MetricRegistry();
+    private final Map<Reason, Counter> entryRefusals = new EnumMap<>(Reason.class);
+    private final Map<Reason, Counter> targetRefusals = new EnumMap<>(Reason.class);
+    private final Map<Reason, Counter> retries = new EnumMap<>(Reason.class);
+    private final Counter forwarded = registry.counter("calls.forwarded");
+    private final Counter run = registry.counter("calls.run");
+    private final Counter answered = registry.counter("calls.answered");
+    private final Counter brokenOff = registry.counter("calls.broken-off");
+    private final Counter messagesSent = registry.counter("control.messages-sent");
+    private final Counter platformCalls = registry.counter("platform.calls");
+    private final Counter peersTurnedAway = registry.counter("peers.turned-away");
+
+    /** Creates all counters, so that those that never counted are seen as zero. */
+    public NodeMetrics() {
+        for (Reason reason : Reason.values()) {
+            entryRefusals.put(reason, registry.counter("refusals.entry." + reason.label()));
+            targetRefusals.put(reason, registry.counter("refusals.target." + reason.label()));
+            retries.put(reason, registry.counter("retries." + reason.label()));
+        }
+    }
+
+    /**
+     * Counts what an effect stands for.
+     *
+     * @param effect the effect
+     */
+    public void count(Effect effect) {
+        if (effect instanceof Effect.RefuseCall refuse) {
+            countRefusal(refuse.refusal().reason());
+        } else if (effect instanceof Effect.RefuseOffer refuse) {
+            targetRefusals.get(refuse.refusal().reason()).inc();
+        } else if (effect instanceof Effect.CountRetry retry) {
+            retries.get(retry.reason()).inc();
+        } else if (effect instanceof Effect.ForwardCall) {
+            forwarded.inc();
+        } else if (effect instanceof Effect.RunOffer) {
+            run.inc();
+        } else if (effect instanceof Effect.FinishOffer finish) {
+            (finish.whole() ? answered : brokenOff).inc();
+        } else if (effect instanceof Effect.Send) {
+            messagesSent.inc();
+        }
+    }
+
+    /**
+     * Counts a refusal that the reducer never saw.
+     *
+     * @param reason why
+     */
+    public void countRefusal(Reason reason) {
+        entryRefusals.get(reason).inc();
+    }
+
+    /** Counts a call to the platform. */
+    public void countPlatformCall() {
+        platformCalls.inc();
+    }
+
+    /** Counts a peer that was turned away. */
+    public void countPeerTurnedAway() {
+        peersTurnedAway.inc();
+    }
+
+    /**
+     * Adds a gauge.
+     *
+     * @param name its name
+     * @param gauge reads its value
+     */
+    public void gauge(String name, Gauge<Number> gauge) {
+        registry.registerGauge(name, gauge);
+    }
+
+    /**
+     * All values by name.
+     *
+     * @return values in order of their names
+     */
+    public Map<String, Number> values() {
+        Map<String, Number> values = new TreeMap<>();
+        registry.getCounters().forEach((name, counter) -> values.put(name, counter.getCount()));
+        registry.getGauges().forEach((name, gauge) -> values.put(name, (Number) gauge.getValue()));
+        return values;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and gauges of a node. */
+package org.heatherhaven.node.metrics;
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/operator/PatchDesk.java
@@ -0,0 +1,43 @@
+package org.heatherhaven.node.operator;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+import org.heatherhaven.core.effect.Effect.AnswerPatch;
+import org.heatherhaven.core.event.ControlEvent;
+import org.heatherhaven.core.event.Event;
+import org.heatherhaven.core.model.PolicyPatch;
+
+/** Takes operators' patches to the control thread and their answers back. */
+public final class PatchDesk {
+
+    private final Consumer<Event> events;
+    private final Map<String, CompletableFuture<AnswerPatch>> waiting = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a desk.
+     *
+     * @param events takes the patches
+     */
+    public PatchDesk(Consumer<Event> events) {
+        this.events = events;
+    }
+
+    CompletableFuture<AnswerPatch> submit(PolicyPatch patch) {
+        CompletableFuture<AnswerPatch> answer = waiting.computeIfAbsent(patch.id(), id -> new CompletableFuture<>());
+        events.accept(new ControlEvent.PatchSubmitted(patch));
+        return answer;
+    }
+
+    /**
+     * Passes an answer to the operator who waits for it.
+     *
+     * @param answer the answer
+     */
+    public void answer(AnswerPatch answer) {
+        Optional.ofNullable(waiting.remove(answer.patchId())).ifPresent(future -> future.complete(answer));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' listener: status, metrics, policy, explanations. */
+package org.heatherhaven.node.operator;
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/peer/AcceptedLink.java
@@ -0,0 +1,115 @@
+package org.heatherhaven.node.peer;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.message.PeerMessage;
+import org.heatherhaven.node.wire.Frame;
+import org.heatherhaven.node.wire.FrameType;
+import org.heatherhaven.node.wire.OfferHead;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A connection that a peer opened to this node. All fields belong to its event loop. */
+final class AcceptedLink extends SimpleChannelInboundHandler<Frame> {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(AcceptedLink.class);
+    private static final int MAX_CALLS = 10_000;
+    private static final int SWEEP_MIN = 64;
+
+    private final long number;
+    private final GuardDoor door;
+    private final Map<Long, OfferedCall> calls = new HashMap<>();
+    private int sweepAt = SWEEP_MIN;
+    private long lastStream;
+    private boolean proven;
+
+    AcceptedLink(long number, GuardDoor door) {
+        this.number = number;
+        this.door = door;
+    }
+
+    void prove() {
+        proven = true;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
+        if (frame.type().control()) {
+            door.said((PeerMessage) frame.body());
+        } else if (frame.type() == FrameType.OFFER) {
+            offered(ctx, frame);
+        } else if (frame.type() != FrameType.KEEPALIVE) {
+            onCall(ctx, frame);
+        }
+    }
+
+    private void offered(ChannelHandlerContext ctx, Frame frame) {
+        if (calls.size() >= sweepAt) {
+            calls.values().removeIf(OfferedCall::over);
+            // Doubling keeps the cost of sweeping constant for each call.
+            sweepAt = Math.max(SWEEP_MIN, 2 * calls.size());
+        }
+        if (frame.stream() <= lastStream || calls.size() >= MAX_CALLS) {
+            LOGGER.warn("Connection {} offered call {} out of order or one too many", number, frame.stream());
+            door.misbehaved();
+            ctx.close();
+            return;
+        }
+        lastStream = frame.stream();
+        OfferKey key = new OfferKey(number, frame.stream());
+        calls.put(frame.stream(), door.offered(key, (OfferHead) frame.body(), ctx.channel()));
+    }
+
+    private void onCall(ChannelHandlerContext ctx, Frame frame) {
+        OfferedCall call = calls.get(frame.stream());
+        if (call == null || call.over()) {
+            // The call ended while this frame was on its way.
+            calls.remove(frame.stream());
+            frame.data().release();
+            return;
+        }
+        switch (frame.type()) {
+            case CHUNK -> call.chunk(frame.data());
+            case BODY_END -> call.bodyEnded();
+            case CREDIT -> call.credit((Integer) frame.body());
+            case CANCEL -> call.cancelled();
+            default -> {
+                door.misbehaved();
+                ctx.close();
+            }
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        calls.values().removeIf(OfferedCall::over);
+        if (!(event instanceof IdleStateEvent idle) || calls.isEmpty()) {
+            return;
+        }
+        if (idle.state() == IdleState.READER_IDLE) {
+            ctx.close();
+        } else if (idle.state() == IdleState.WRITER_IDLE) {
+            ctx.writeAndFlush(Frame.bare(FrameType.KEEPALIVE, 0));
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (proven) {
+            door.closed(number);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        LOGGER.warn("Connection {} of a peer was closed: {}", number, cause.toString());
+        door.misbehaved();
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/peer/AttemptListener.java
@@ -0,0 +1,53 @@
+package org.heatherhaven.node.peer;
+
+import io.netty.buffer.ByteBuf;
+import org.heatherhaven.core.model.Outcome;
+import org.heatherhaven.node.wire.AnswerEnd;
+import org.heatherhaven.node.wire.AnswerHead;
+import org.heatherhaven.node.wire.RefusedHead;
+
+/** Hears how an attempt goes; called on the connection's event loop. */
+public interface AttemptListener {
+
+    /**
+     * The target answers.
+     *
+     * @param head head of the answer
+     */
+    void answered(AnswerHead head);
+
+    /**
+     * A piece of the answer arrived.
+     *
+     * @param data the bytes, owned by the listener
+     */
+    void chunk(ByteBuf data);
+
+    /**
+     * The answer is over.
+     *
+     * @param end how it ended
+     */
+    void ended(AnswerEnd end);
+
+    /**
+     * The target's node refused the call.
+     *
+     * @param refused the refusal
+     */
+    void refused(RefusedHead refused);
+
+    /**
+     * More of the request's body may be sent.
+     *
+     * @param bytes number of bytes
+     */
+    void credit(int bytes);
+
+    /**
+     * The connection is gone.
+     *
+     * @param outcome {@link Outcome#NOT_RUN} if nothing was ever sent on it
+     */
+    void lost(Outcome outcome);
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/peer/PeerPipeline.java
@@ -0,0 +1,46 @@
+package org.heatherhaven.node.peer;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.handler.timeout.IdleStateHandler;
+import org.heatherhaven.node.wire.FrameCodec;
+import org.heatherhaven.node.wire.Handshake;
+
+/** Builds the pipeline of a connection between nodes. */
+final class PeerPipeline {
+
+    /** A connection with calls under way that is silent for this long is given up. */
+    private static final int SILENCE_LIMIT_SECONDS = 5;
+
+    private static final int KEEPALIVE_SECONDS = 1;
+
+    private PeerPipeline() {}
+
+    static void build(
+            ChannelPipeline pipeline,
+            PeerSettings settings,
+            boolean initiator,
+            ChannelHandler last,
+            Consumer<ChannelHandlerContext> proven) {
+        if (initiator) {
+            settings.clientTls()
+                    .ifPresent(tls ->
+                            pipeline.addLast(tls.newHandler(pipeline.channel().alloc())));
+        } else {
+            settings.serverTls()
+                    .ifPresent(tls ->
+                            pipeline.addLast(tls.newHandler(pipeline.channel().alloc())));
+        }
+        pipeline.addLast(
+                new FlushConsolidationHandler(FlushConsolidationHandler.DEFAULT_EXPLICIT_FLUSH_AFTER_FLUSHES, true));
+        pipeline.addLast(new IdleStateHandler(SILENCE_LIMIT_SECONDS, KEEPALIVE_SECONDS, 0, TimeUnit.SECONDS));
+        pipeline.addLast(new FrameCodec(settings.maxFrameBytes()));
+        pipeline.addLast(new Handshake(initiator, settings.hello(), settings.secrets(), proven));
+        pipeline.addLast(last);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/platform/HttpPlatform.java
@@ -0,0 +1,177 @@
+package org.heatherhaven.node.platform;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.BoundRequestBuilder;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.Dsl;
+import org.asynchttpclient.Response;
+
+/** The platform's object API over HTTP: entity tags carry versions, preconditions make writes conditional. */
+public final class HttpPlatform implements Platform, AutoCloseable {
+
+    private static final int OK = 200;
+    private static final int CREATED = 201;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_FOUND = 404;
+    private static final int PRECONDITION_FAILED = 412;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int MAX_CONNECTIONS = 16;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final String baseUrl;
+    private final Duration timeout;
+    private final Runnable counter;
+    private final AsyncHttpClient client;
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param baseUrl address of the platform
+     * @param timeout how long an answer is waited for
+     * @param group threads of the connections
+     * @param counter told of each call
+     */
+    public HttpPlatform(String baseUrl, Duration timeout, EventLoopGroup group, Runnable counter) {
+        this.baseUrl = baseUrl;
+        this.timeout = timeout;
+        this.counter = counter;
+        this.client = Dsl.asyncHttpClient(new DefaultAsyncHttpClientConfig.Builder()
+                .setEventLoopGroup(group)
+                .setConnectTimeout(timeout)
+                .setMaxConnections(MAX_CONNECTIONS)
+                // A write sent twice without our knowing could not be told from another's.
+                .setMaxRequestRetry(0)
+                .build());
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoredObject>> get(String key) {
+        return send(client.prepareGet(objectUrl(key)), timeout).thenApply(response -> {
+            if (response.getStatusCode() == NOT_FOUND) {
+                return Optional.empty();
+            }
+            require(response, OK);
+            return Optional.of(new StoredObject(key, version(response), response.getResponseBodyAsBytes()));
+        });
+    }
+
+    @Override
+    public CompletableFuture<List<StoredObject>> list(String prefix, String after, int limit, Duration patience) {
+        BoundRequestBuilder request = client.prepareGet(baseUrl + "/objects")
+                .addQueryParam("prefix", prefix)
+                .addQueryParam("after", after)
+                .addQueryParam("limit", Integer.toString(limit))
+                .addQueryParam("wait_ms", Long.toString(patience.toMillis()));
+        return send(request, timeout.plus(patience)).thenApply(response -> {
+            require(response, OK);
+            return objects(response);
+        });
+    }
+
+    private static List<StoredObject> objects(Response response) {
+        try {
+            List<StoredObject> objects = new ArrayList<>();
+            for (JsonNode node : JSON.readTree(response.getResponseBodyAsBytes())) {
+                byte[] value = JSON.writeValueAsBytes(node.required("value"));
+                objects.add(new StoredObject(
+                        node.required("key").asText(), node.required("version").asLong(), value));
+            }
+            return objects;
+        } catch (IOException | IllegalArgumentException e) {
+            throw new PlatformException(PlatformException.Code.BAD_ANSWER, "the platform's list can't be read");
+        }
+    }
+
+    @Override
+    public CompletableFuture<OptionalLong> create(String key, byte[] value) {
+        return write(
+                client.preparePut(objectUrl(key))
+                        .addHeader("If-None-Match", "*")
+                        .setBody(value),
+                CREATED);
+    }
+
+    @Override
+    public CompletableFuture<OptionalLong> update(String key, byte[] value, long version) {
+        return write(
+                client.preparePut(objectUrl(key))
+                        .addHeader("If-Match", Long.toString(version))
+                        .setBody(value),
+                OK);
+    }
+
+    private CompletableFuture<OptionalLong> write(BoundRequestBuilder request, int expected) {
+        return send(request, timeout).thenApply(response -> {
+            int status = response.getStatusCode();
+            if (status == PRECONDITION_FAILED || status == NOT_FOUND) {
+                return OptionalLong.empty();
+            }
+            require(response, expected);
+            return OptionalLong.of(version(response));
+        });
+    }
+
+    @Override
+    public CompletableFuture<Boolean> delete(String key, long version) {
+        BoundRequestBuilder request =
+                client.prepareDelete(objectUrl(key)).addHeader("If-Match", Long.toString(version));
+        return send(request, timeout).thenApply(response -> response.getStatusCode() == NO_CONTENT);
+    }
+
+    private CompletableFuture<Response> send(BoundRequestBuilder request, Duration limit) {
+        counter.run();
+        return request.setRequestTimeout(limit)
+                .setReadTimeout(limit)
+                .execute()
+                .toCompletableFuture()
+                .exceptionally(cause -> {
+                    throw new CompletionException(
+                            new PlatformException(PlatformException.Code.UNREACHABLE, cause.toString()));
+                });
+    }
+
+    private static void require(Response response, int status) {
+        if (response.getStatusCode() != status) {
+            PlatformException.Code code = response.getStatusCode() == TOO_MANY_REQUESTS
+                    ? PlatformException.Code.BUSY
+                    : PlatformException.Code.UNREACHABLE;
+            throw new PlatformException(code, "the platform answered " + response.getStatusCode());
+        }
+    }
+
+    private static long version(Response response) {
+        try {
+            return Long.parseLong(response.getHeader("ETag"));
+        } catch (NumberFormatException e) {
+            throw new PlatformException(PlatformException.Code.BAD_ANSWER, "the platform sent no version");
+        }
+    }
+
+    private String objectUrl(String key) {
+        return baseUrl + "/objects/" + URLEncoder.encode(key, StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() {
+        try {
+            client.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/platform/PlatformGateway.java
@@ -0,0 +1,293 @@
+package org.heatherhaven.node.platform;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.event.Event;
+import org.heatherhaven.core.event.PlatformEvent;
+import org.heatherhaven.core.event.PlatformEvent.CommitResult;
+import org.heatherhaven.core.model.Grant;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.PolicySnapshot;
+import org.heatherhaven.core.model.PolicyVersion;
+import org.heatherhaven.core.model.RightId;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Carries out the platform's effects, and posts what came of them. */
+public final class PlatformGateway {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(PlatformGateway.class);
+    private static final Duration WATCH_PATIENCE = Duration.ofSeconds(2);
+    private static final int PAGE_OBJECTS = 200;
+    private static final int MEMBER_SAMPLE = 200;
+    private static final String VERSIONS = "policy/versions/";
+    private static final String SNAPSHOT = "policy/snapshot";
+    private static final String MEMBERS = "members/";
+
+    private static final ObjectMapper JSON = new ObjectMapper()
+            .registerModule(new Jdk8Module())
+            .registerModule(new JavaTimeModule())
+            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES);
+
+    private final Platform platform;
+    private final InstantSource clock;
+    private final Consumer<Event> events;
+
+    /**
+     * Creates the gateway.
+     *
+     * @param platform the platform
+     * @param clock source of time
+     * @param events takes what came of the calls
+     */
+    public PlatformGateway(Platform platform, InstantSource clock, Consumer<Event> events) {
+        this.platform = platform;
+        this.clock = clock;
+        this.events = events;
+    }
+
+    /**
+     * Reads the object of a right.
+     *
+     * @param effect which right
+     */
+    public void readGrant(Effect.ReadGrant effect) {
+        settle(
+                effect.right(),
+                platform.get(key(effect.right()))
+                        .thenAccept(found -> events.accept(found.map(object -> seen(effect.right(), object))
+                                .orElse(new PlatformEvent.GrantAbsent(effect.right())))));
+    }
+
+    /**
+     * Creates the object of a right.
+     *
+     * @param effect which right, and its content
+     */
+    public void createGrant(Effect.CreateGrant effect) {
+        settle(
+                effect.right(),
+                platform.create(key(effect.right()), write(effect.grant())).thenAccept(version -> {
+                    if (version.isPresent()) {
+                        events.accept(new PlatformEvent.GrantSeen(effect.right(), effect.grant(), version.getAsLong()));
+                    } else {
+                        readGrant(new Effect.ReadGrant(effect.right()));
+                    }
+                }));
+    }
+
+    /**
+     * Updates the object of a right.
+     *
+     * @param effect which right, its content, and the version expected
+     */
+    public void updateGrant(Effect.UpdateGrant effect) {
+        settle(
+                effect.right(),
+                platform.update(key(effect.right()), write(effect.grant()), effect.objectVersion())
+                        .thenAccept(version -> {
+                            if (version.isPresent()) {
+                                events.accept(new PlatformEvent.GrantSeen(
+                                        effect.right(), effect.grant(), version.getAsLong()));
+                            } else {
+                                readGrant(new Effect.ReadGrant(effect.right()));
+                            }
+                        }));
+    }
+
+    private void settle(RightId right, CompletableFuture<Void> call) {
+        call.exceptionally(cause -> {
+            LOGGER.debug("Right {} is unsettled: {}", right, cause.toString());
+            events.accept(new PlatformEvent.GrantUnsettled(right));
+            return null;
+        });
+    }
+
+    private static PlatformEvent seen(RightId right, StoredObject object) {
+        return new PlatformEvent.GrantSeen(right, read(object.value(), Grant.class), object.version());
+    }
+
+    /**
+     * Reads policy versions.
+     *
+     * @param effect after which version
+     */
+    public void readPolicy(Effect.ReadPolicy effect) {
+        Instant askedAt = clock.instant();
+        CompletableFuture<Optional<PolicySnapshot>> snapshot = effect.after() > 0
+                ? CompletableFuture.completedFuture(Optional.empty())
+                : platform.get(SNAPSHOT)
+                        .thenApply(found -> found.map(object -> read(object.value(), PolicySnapshot.class)));
+        snapshot.thenCompose(start -> {
+                    long after = start.map(PolicySnapshot::version).orElse(effect.after());
+                    return platform.list(VERSIONS, versionKey(after), PAGE_OBJECTS, WATCH_PATIENCE)
+                            .thenAccept(objects -> policyRead(start, objects, askedAt));
+                })
+                .exceptionally(cause -> {
+                    LOGGER.debug("The policy can't be read: {}", cause.toString());
+                    events.accept(new PlatformEvent.PolicyReadFailed());
+                    return null;
+                });
+    }
+
+    private void policyRead(Optional<PolicySnapshot> start, List<StoredObject> objects, Instant askedAt) {
+        List<PolicyVersion> versions = objects.stream()
+                .map(object -> read(object.value(), PolicyVersion.class))
+                .toList();
+        // A full page may have successors, so that it proves nothing about the newest version.
+        Instant provenAt = objects.size() < PAGE_OBJECTS ? askedAt : Instant.EPOCH;
+        long ago = Math.max(0, Duration.between(provenAt, clock.instant()).toMillis());
+        events.accept(new PlatformEvent.PolicyRead(start, versions, ago));
+    }
+
+    /**
+     * Creates a policy version.
+     *
+     * @param effect the version
+     */
+    public void writePolicy(Effect.WritePolicy effect) {
+        PolicyVersion version = effect.version();
+        String key = versionKey(version.version());
+        platform.create(key, write(version))
+                .thenCompose(created -> created.isPresent()
+                        ? CompletableFuture.completedFuture(Optional.<PolicyVersion>empty())
+                        : platform.get(key)
+                                .thenApply(found -> found.map(object -> read(object.value(), PolicyVersion.class))))
+                .thenAccept(existing -> events.accept(new PlatformEvent.PolicyWritten(
+                        version, existing.isPresent() ? CommitResult.EXISTS : CommitResult.CREATED, existing)))
+                .exceptionally(cause -> {
+                    LOGGER.warn("Version {} is unsettled: {}", version.version(), cause.toString());
+                    events.accept(new PlatformEvent.PolicyWritten(version, CommitResult.UNSETTLED, Optional.empty()));
+                    return null;
+                });
+    }
+
+    /**
+     * Keeps a whole policy, unless a newer one is kept already.
+     *
+     * @param effect the policy
+     */
+    public void writeSnapshot(Effect.WriteSnapshot effect) {
+        byte[] value = write(effect.snapshot());
+        platform.get(SNAPSHOT)
+                .thenCompose(found -> {
+                    if (found.isEmpty()) {
+                        return platform.create(SNAPSHOT, value);
+                    }
+                    long kept = read(found.get().value(), PolicySnapshot.class).version();
+                    return kept >= effect.snapshot().version()
+                            ? CompletableFuture.completedFuture(OptionalLong.empty())
+                            : platform.update(SNAPSHOT, value, found.get().version());
+                })
+                .exceptionally(cause -> {
+                    // Without it later nodes read more versions; nothing is lost.
+                    LOGGER.info(
+                            "Snapshot {} was not kept: {}", effect.snapshot().version(), cause.toString());
+                    return OptionalLong.empty();
+                });
+    }
+
+    /**
+     * Announces this node, in the place of an earlier process at its address.
+     *
+     * @param self this node
+     * @return completes when the announcement stands
+     */
+    public CompletableFuture<Boolean> announce(Member self) {
+        String key = memberKey(self.id());
+        byte[] value = write(self);
+        return platform.create(key, value).thenCompose(created -> {
+            if (created.isPresent()) {
+                return CompletableFuture.completedFuture(true);
+            }
+            return platform.get(key)
+                    .thenCompose(found -> found.isEmpty()
+                            ? platform.create(key, value)
+                            : platform.update(key, value, found.get().version()))
+                    .thenApply(written -> written.isPresent());
+        });
+    }
+
+    /**
+     * Reads some announced members: those after this node's own key, so that joining nodes spread out.
+     *
+     * @param self this node
+     */
+    public void listMembers(NodeId self) {
+        platform.list(MEMBERS, memberKey(self), MEMBER_SAMPLE, Duration.ZERO)
+                .thenCompose(found -> found.isEmpty()
+                        ? platform.list(MEMBERS, "", MEMBER_SAMPLE, Duration.ZERO)
+                        : CompletableFuture.completedFuture(found))
+                .thenAccept(objects -> events.accept(new PlatformEvent.MembersListed(objects.stream()
+                        .map(object -> read(object.value(), Member.class))
+                        .toList())))
+                .exceptionally(cause -> {
+                    LOGGER.debug("Members can't be read: {}", cause.toString());
+                    return null;
+                });
+    }
+
+    /**
+     * Removes the announcement of a process that is over, unless its address has a new one.
+     *
+     * @param effect which process
+     * @return completes when the platform has answered
+     */
+    public CompletableFuture<Boolean> removeAnnouncement(Effect.RemoveAnnouncement effect) {
+        String key = memberKey(effect.member().node());
+        return platform.get(key)
+                .thenCompose(found -> {
+                    boolean same = found.isPresent()
+                            && read(found.get().value(), Member.class).epoch()
+                                    == effect.member().epoch();
+                    return same
+                            ? platform.delete(key, found.get().version())
+                            : CompletableFuture.completedFuture(false);
+                })
+                .exceptionally(cause -> false);
+    }
+
+    private static String key(RightId right) {
+        return "rights/" + right;
+    }
+
+    private static String versionKey(long version) {
+        return VERSIONS + String.format("%012d", version);
+    }
+
+    private static String memberKey(NodeId node) {
+        return MEMBERS + node.value();
+    }
+
+    private static byte[] write(Object value) {
+        try {
+            return JSON.writeValueAsBytes(value);
+        } catch (IOException e) {
+            throw new IllegalStateException("can't write " + value.getClass(), e);
+        }
+    }
+
+    private static <T> T read(byte[] value, Class<T> type) {
+        try {
+            return JSON.readValue(value, type);
+        } catch (IOException e) {
+            throw new PlatformException(
+                    PlatformException.Code.BAD_ANSWER, "an object is not a " + type.getSimpleName());
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
@@ -0,0 +1,140 @@
+package org.heatherhaven.node.settings;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.heatherhaven.core.logic.admission.AdmissionMode;
+import org.heatherhaven.core.logic.node.NodeRules;
+import org.heatherhaven.core.logic.once.OnceLogic.LedgerLimits;
+import org.heatherhaven.core.logic.retry.RetryMode;
+import org.heatherhaven.core.logic.routing.RoutingMode;
+import org.heatherhaven.core.model.Zone;
+import org.heatherhaven.node.entry.EntrySettings;
+import org.heatherhaven.node.settings.NodeSettings.TlsFiles;
+import org.heatherhaven.node.target.TargetSettings;
+
+/** Reads the settings of a node. */
+public final class NodeSettingsReader {
+
+    private static final long DEFAULT_SEED = 1;
+    private static final long DEFAULT_PLATFORM_TIMEOUT_MS = 1_000;
+    private static final long DEFAULT_HEADER_BYTES = 16 * 1024;
+    private static final long DEFAULT_BODY_BYTES = 16 * 1024 * 1024;
+    private static final long DEFAULT_FRAME_BYTES = 1024 * 1024;
+    private static final long DEFAULT_CONNECTIONS = 10_000;
+    private static final long DEFAULT_MAILBOX = 10_000;
+    private static final long DEFAULT_THREADS = 2;
+    private static final int MIN_SECRET_CHARS = 16;
+    private static final long MAX_MILLIS = Duration.ofHours(24).toMillis();
+    private static final long MAX_COUNT = 1_000_000;
+    private static final long MAX_BYTES = Integer.MAX_VALUE;
+    private static final long MIN_BYTES = 1_024;
+    private static final long MAX_THREADS = 64;
+
+    private NodeSettingsReader() {}
+
+    /**
+     * Reads a file of settings, and checks all of it.
+     *
+     * @param path the file
+     * @return the settings
+     * @throws SettingsException if anything in it can't be used; its message names file, line, setting and what was
+     *     expected
+     */
+    public static NodeSettings read(Path path) {
+        return read(TomlTable.read(path));
+    }
+
+    static NodeSettings read(TomlTable root) {
+        TomlTable place = root.table("place");
+        Zone zone = new Zone(place.text("region"), place.text("zone"));
+        TomlTable listen = root.table("listen");
+        InetSocketAddress callers = listen.address("callers");
+        InetSocketAddress targetCalls = listen.address("target_calls");
+        InetSocketAddress peers = listen.address("peers");
+        InetSocketAddress operators = listen.address("operators");
+        Optional<String> token = listen.optionalText("operator_token");
+        if (!targetCalls.getAddress().isLoopbackAddress()) {
+            throw listen.bad("target_calls", "an address on loopback, for the node's own target only");
+        }
+        TargetSettings target = target(root.table("target"));
+        TomlTable platform = root.table("platform");
+        String url = platform.text("url");
+        Duration platformTimeout = millis(platform, "timeout_ms", DEFAULT_PLATFORM_TIMEOUT_MS);
+        List<String> secrets = secrets(root.table("fleet"));
+        TomlTable limits = root.table("limits");
+        EntrySettings entry = new EntrySettings(
+                (int) limits.number("header_bytes", MIN_BYTES, MAX_BYTES, Optional.of(DEFAULT_HEADER_BYTES)),
+                limits.number("body_bytes", 0, Long.MAX_VALUE, Optional.of(DEFAULT_BODY_BYTES)),
+                (int) limits.number("connections", 1, MAX_COUNT, Optional.of(DEFAULT_CONNECTIONS)));
+        int frameBytes = (int) limits.number("frame_bytes", MIN_BYTES, MAX_BYTES, Optional.of(DEFAULT_FRAME_BYTES));
+        int mailbox = (int) limits.number("waiting_events", 1, MAX_COUNT, Optional.of(DEFAULT_MAILBOX));
+        int threads = (int) limits.number("traffic_threads", 1, MAX_THREADS, Optional.of(DEFAULT_THREADS));
+        NodeRules rules = rules(root);
+        Optional<TlsFiles> tls = tls(root.table("tls"));
+        root.refuseUnknown();
+        return new NodeSettings(
+                zone,
+                callers,
+                targetCalls,
+                peers,
+                operators,
+                token,
+                target,
+                url,
+                platformTimeout,
+                secrets,
+                entry,
+                frameBytes,
+                mailbox,
+                threads,
+                tls,
+                rules);
+    }
+
+    private static TargetSettings target(TomlTable table) {
+        return new TargetSettings(
+                table.text("service"),
+                table.address("address"),
+                (int) table.number("slots", 1, MAX_COUNT, Optional.empty()),
+                (int) table.number("connections", 1, MAX_COUNT, Optional.empty()));
+    }
+
+    private static List<String> secrets(TomlTable table) {
+        List<String> secrets = table.texts("secrets");
+        boolean strong = secrets.stream().allMatch(secret -> secret.length() >= MIN_SECRET_CHARS);
+        if (secrets.isEmpty() || !strong) {
+            throw table.bad("secrets", "a list of texts of at least " + MIN_SECRET_CHARS + " characters");
+        }
+        return secrets;
+    }
+
+    private static NodeRules rules(TomlTable root) {
+        TomlTable strategy = root.table("strategy");
+        TomlTable ledger = root.table("ledger");
+        NodeRules defaults = NodeRules.defaults(strategy.number("seed", 0, Long.MAX_VALUE, Optional.of(DEFAULT_SEED)));
+        Duration memory = millis(ledger, "memory_ms", defaults.ledger().memory().toMillis());
+        int keys = (int) ledger.number(
+                "keys", 1, MAX_COUNT, Optional.of((long) defaults.ledger().keys()));
+        return defaults.withModes(
+                        strategy.constant("admission", AdmissionMode.class, Optional.of(defaults.admission())),
+                        strategy.constant("routing", RoutingMode.class, Optional.of(defaults.routing())),
+                        strategy.constant("retry", RetryMode.class, Optional.of(defaults.retry())))
+                .withLedger(new LedgerLimits(memory, keys));
+    }
+
+    private static Duration millis(TomlTable table, String key, long fallback) {
+        return Duration.ofMillis(table.number(key, 1, MAX_MILLIS, Optional.of(fallback)));
+    }
+
+    private static Optional<TlsFiles> tls(TomlTable table) {
+        if (!table.present()) {
+            return Optional.empty();
+        }
+        return Optional.of(new TlsFiles(
+                Path.of(table.text("certificate")), Path.of(table.text("key")), Path.of(table.text("authority"))));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/settings/PatchReader.java
@@ -0,0 +1,88 @@
+package org.heatherhaven.node.settings;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+
+import org.heatherhaven.core.model.Importance;
+import org.heatherhaven.core.model.KeyGrant;
+import org.heatherhaven.core.model.PolicyPatch;
+import org.heatherhaven.core.model.Route;
+import org.heatherhaven.core.model.Team;
+
+/** Reads policy patches. */
+public final class PatchReader {
+
+    private static final long MAX_SHARES = 1_024;
+    private static final long MAX_TIMEOUT_MS = 300_000;
+    private static final long MAX_RETRIES = 100;
+    private static final long DEFAULT_TIMEOUT_MS = 2_000;
+    private static final long DEFAULT_RETRIES = 3;
+
+    private PatchReader() {}
+
+    /**
+     * Reads a patch.
+     *
+     * @param path the file
+     * @param author who sends it
+     * @return the patch
+     * @throws SettingsException if anything in it can't be used
+     */
+    public static PolicyPatch read(Path path, String author) {
+        return read(TomlTable.read(path), author);
+    }
+
+    /**
+     * Reads a patch.
+     *
+     * @param root root table of the file
+     * @param author who sends it
+     * @return the patch
+     * @throws SettingsException if anything in it can't be used
+     */
+    public static PolicyPatch read(TomlTable root, String author) {
+        long base = root.number("base", 0, Long.MAX_VALUE - 1, Optional.empty());
+        String id = root.optionalText("id").orElseGet(() -> UUID.randomUUID().toString());
+        String note = root.optionalText("note").orElse("");
+        List<Team> teams = root.tables("team").stream().map(PatchReader::team).toList();
+        List<Route> routes =
+                root.tables("route").stream().map(PatchReader::route).toList();
+        List<KeyGrant> keys = root.tables("key").stream()
+                .map(key -> new KeyGrant(key.text("hash"), key.text("team")))
+                .toList();
+        TomlTable remove = root.table("remove");
+        PolicyPatch patch = new PolicyPatch(
+                id,
+                base,
+                author,
+                note,
+                teams,
+                routes,
+                keys,
+                remove.texts("teams"),
+                remove.texts("routes"),
+                remove.texts("keys"));
+        root.refuseUnknown();
+        return patch;
+    }
+
+    private static Team team(TomlTable table) {
+        return new Team(table.text("name"), table.decimal("rate"), table.decimal("burst"), (int)
+                table.number("shares", 1, MAX_SHARES, Optional.of(1L)));
+    }
+
+    private static Route route(TomlTable table) {
+        return new Route(
+                table.text("name"),
+                table.text("path"),
+                table.text("service"),
+                table.constant("importance", Importance.class, Optional.of(Importance.NORMAL)),
+                table.flag("unrepeatable", false),
+                table.flag("open", false),
+                Duration.ofMillis(table.number("timeout_ms", 1, MAX_TIMEOUT_MS, Optional.of(DEFAULT_TIMEOUT_MS))),
+                (int) table.number("retries", 0, MAX_RETRIES, Optional.of(DEFAULT_RETRIES)));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/settings/TomlTable.java
@@ -0,0 +1,335 @@
+package org.heatherhaven.node.settings;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import org.heatherhaven.node.settings.SettingsException.Code;
+
+/** One table of a TOML file; every value is checked when it is read, and names that nobody read are refused. */
+public final class TomlTable {
+
+    private static final int MAX_PORT = 65_535;
+
+    private final String file;
+    private final List<String> lines;
+    private final String name;
+    private final JsonNode node;
+    private final Set<String> read = new HashSet<>();
+    private final List<TomlTable> children = new ArrayList<>();
+
+    private TomlTable(String file, List<String> lines, String name, JsonNode node) {
+        this.file = file;
+        this.lines = lines;
+        this.name = name;
+        this.node = node;
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @param path the file
+     * @return its root table
+     * @throws SettingsException if it can't be read or is not TOML
+     */
+    public static TomlTable read(Path path) {
+        try {
+            return parse(path.getFileName().toString(), Files.readString(path));
+        } catch (IOException e) {
+            throw new SettingsException(Code.UNREADABLE, path + ": can't be read");
+        }
+    }
+
+    /**
+     * Reads a text.
+     *
+     * @param file name for messages
+     * @param text the text
+     * @return its root table
+     * @throws SettingsException if it is not TOML
+     */
+    public static TomlTable parse(String file, String text) {
+        try {
+            JsonNode root = new TomlMapper().readTree(text);
+            return new TomlTable(file, text.lines().toList(), "", root);
+        } catch (JsonProcessingException e) {
+            int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
+            throw new SettingsException(Code.NOT_TOML, file + ":" + line + ": not TOML: " + e.getOriginalMessage());
+        } catch (RuntimeException e) {
+            throw new SettingsException(Code.NOT_TOML, file + ":1: not TOML: " + e.getMessage());
+        }
+    }
+
+    /**
+     * Reads a table below this one, empty if it is not there.
+     *
+     * @param key its name
+     * @return the table
+     */
+    public TomlTable table(String key) {
+        read.add(key);
+        JsonNode child = node.path(key);
+        if (!child.isMissingNode() && !child.isObject()) {
+            throw bad(key, "a table [" + key + "]");
+        }
+        return child(key, child);
+    }
+
+    /**
+     * Reads an array of tables below this one.
+     *
+     * @param key its name
+     * @return the tables, none if it is not there
+     */
+    public List<TomlTable> tables(String key) {
+        read.add(key);
+        List<TomlTable> tables = new ArrayList<>();
+        for (JsonNode child : node.path(key)) {
+            if (!child.isObject()) {
+                throw bad(key, "tables [[" + key + "]]");
+            }
+            tables.add(child(key, child));
+        }
+        return tables;
+    }
+
+    private TomlTable child(String key, JsonNode child) {
+        String path = name.isEmpty() ? key : name + "." + key;
+        TomlTable table = new TomlTable(file, lines, path, child);
+        children.add(table);
+        return table;
+    }
+
+    /**
+     * Reads a text that must be there.
+     *
+     * @param key its name
+     * @return the text
+     */
+    public String text(String key) {
+        return optionalText(key).orElseThrow(() -> missing(key, "a text"));
+    }
+
+    /**
+     * Reads a text.
+     *
+     * @param key its name
+     * @return the text, if it is there
+     */
+    public Optional<String> optionalText(String key) {
+        return value(key, JsonNode::isTextual, "a text").map(JsonNode::asText);
+    }
+
+    /**
+     * Reads texts.
+     *
+     * @param key their name
+     * @return the texts, none if they are not there
+     */
+    public List<String> texts(String key) {
+        List<String> texts = new ArrayList<>();
+        Optional<JsonNode> array = value(key, JsonNode::isArray, "a list of texts");
+        if (array.isPresent()) {
+            for (JsonNode item : array.get()) {
+                if (!item.isTextual()) {
+                    throw bad(key, "a list of texts");
+                }
+                texts.add(item.asText());
+            }
+        }
+        return texts;
+    }
+
+    /**
+     * Reads a truth value.
+     *
+     * @param key its name
+     * @param fallback the value if it is not there
+     * @return the value
+     */
+    public boolean flag(String key, boolean fallback) {
+        return value(key, JsonNode::isBoolean, "true or false")
+                .map(JsonNode::asBoolean)
+                .orElse(fallback);
+    }
+
+    /**
+     * Reads a whole number.
+     *
+     * @param key its name
+     * @param min smallest value allowed
+     * @param max largest value allowed
+     * @param fallback the value if it is not there; absent if it must be there
+     * @return the number
+     */
+    public long number(String key, long min, long max, Optional<Long> fallback) {
+        String expected = "a whole number from " + min + " to " + max;
+        Optional<JsonNode> found = value(key, JsonNode::isIntegralNumber, expected);
+        if (found.isEmpty()) {
+            return fallback.orElseThrow(() -> missing(key, expected));
+        }
+        if (!found.get().canConvertToLong()
+                || found.get().asLong() < min
+                || found.get().asLong() > max) {
+            throw bad(key, expected);
+        }
+        return found.get().asLong();
+    }
+
+    /**
+     * Reads a number that must be there.
+     *
+     * @param key its name
+     * @return the number
+     */
+    public double decimal(String key) {
+        return value(key, JsonNode::isNumber, "a number")
+                .map(JsonNode::asDouble)
+                .orElseThrow(() -> missing(key, "a number"));
+    }
+
+    /**
+     * Reads a constant, written in lower case with hyphens.
+     *
+     * @param key its name
+     * @param type the enum
+     * @param fallback the value if it is not there; absent if it must be there
+     * @param <E> the enum
+     * @return the constant
+     */
+    public <E extends Enum<E>> E constant(String key, Class<E> type, Optional<E> fallback) {
+        List<String> names = new ArrayList<>();
+        for (E constant : type.getEnumConstants()) {
+            names.add(constant.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+        }
+        String expected = "one of " + String.join(", ", names);
+        Optional<String> found = value(key, JsonNode::isTextual, expected).map(JsonNode::asText);
+        if (found.isEmpty()) {
+            return fallback.orElseThrow(() -> missing(key, expected));
+        }
+        int index = names.indexOf(found.get());
+        if (index < 0) {
+            throw bad(key, expected);
+        }
+        return type.getEnumConstants()[index];
+    }
+
+    /**
+     * Reads an address that must be there.
+     *
+     * @param key its name
+     * @return the address
+     */
+    public InetSocketAddress address(String key) {
+        String expected = "an address such as \"127.0.0.1:8080\"";
+        String text = value(key, JsonNode::isTextual, expected)
+                .map(JsonNode::asText)
+                .orElseThrow(() -> missing(key, expected));
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon <= 0 || port < 1 || port > MAX_PORT) {
+                throw bad(key, expected);
+            }
+            return new InetSocketAddress(text.substring(0, colon), port);
+        } catch (NumberFormatException e) {
+            throw bad(key, expected);
+        }
+    }
+
+    private Optional<JsonNode> value(String key, Function<JsonNode, Boolean> fits, String expected) {
+        read.add(key);
+        JsonNode value = node.path(key);
+        if (value.isMissingNode()) {
+            return Optional.empty();
+        }
+        if (!fits.apply(value)) {
+            throw bad(key, expected);
+        }
+        return Optional.of(value);
+    }
+
+    /**
+     * Tells whether this table is in the file.
+     *
+     * @return true if it is
+     */
+    public boolean present() {
+        return !node.isMissingNode();
+    }
+
+    /**
+     * Refuses names that nobody has read, here and in all tables below.
+     *
+     * @throws SettingsException if there is one
+     */
+    public void refuseUnknown() {
+        if (node instanceof ObjectNode object) {
+            Iterator<String> names = object.fieldNames();
+            while (names.hasNext()) {
+                String key = names.next();
+                if (!read.contains(key)) {
+                    throw error(Code.UNKNOWN_NAME, key, "is not a setting; known here: " + String.join(", ", sorted()));
+                }
+            }
+        }
+        children.forEach(TomlTable::refuseUnknown);
+    }
+
+    private List<String> sorted() {
+        return read.stream().sorted().toList();
+    }
+
+    private SettingsException missing(String key, String expected) {
+        return error(Code.MISSING, key, "is missing; expected " + expected);
+    }
+
+    /**
+     * Says that a value can't be used.
+     *
+     * @param key name of the value
+     * @param expected what was expected
+     * @return the exception to throw
+     */
+    public SettingsException bad(String key, String expected) {
+        return error(Code.BAD_VALUE, key, "can't be used; expected " + expected);
+    }
+
+    private SettingsException error(Code code, String key, String problem) {
+        String path = name.isEmpty() ? key : name + "." + key;
+        return new SettingsException(code, file + ":" + lineOf(key) + ": " + path + " " + problem);
+    }
+
+    /** The line of a key, or of its table if the key is missing. */
+    private int lineOf(String key) {
+        boolean inside = name.isEmpty();
+        int header = 1;
+        for (int i = 0; i < lines.size(); i++) {
+            String line = lines.get(i).strip();
+            if (line.startsWith("[")) {
+                inside = line.replaceAll("[\\[\\]\\s]", "").equals(name);
+                header = inside ? i + 1 : header;
+                if (line.replaceAll("[\\[\\]\\s]", "").equals(name.isEmpty() ? key : name + "." + key)) {
+                    return i + 1;
+                }
+            } else if (inside && line.matches("\"?" + Pattern.quote(key) + "\"?\\s*=.*")) {
+                return i + 1;
+            }
+        }
+        return header;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/wire/Frame.java
@@ -0,0 +1,49 @@
+package org.heatherhaven.node.wire;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
+/**
+ * A frame as it travels.
+ *
+ * @param type type of the frame
+ * @param stream number of the call, 0 for control messages
+ * @param body decoded payload, or nothing
+ * @param data raw payload of chunks; released by whoever consumes the frame
+ */
+public record Frame(FrameType type, long stream, Object body, ByteBuf data) {
+
+    /**
+     * A frame with a decoded payload.
+     *
+     * @param type type of the frame
+     * @param stream number of the call
+     * @param body payload
+     * @return the frame
+     */
+    public static Frame of(FrameType type, long stream, Object body) {
+        return new Frame(type, stream, body, Unpooled.EMPTY_BUFFER);
+    }
+
+    /**
+     * A frame without payload.
+     *
+     * @param type type of the frame
+     * @param stream number of the call
+     * @return the frame
+     */
+    public static Frame bare(FrameType type, long stream) {
+        return new Frame(type, stream, "", Unpooled.EMPTY_BUFFER);
+    }
+
+    /**
+     * A piece of a body.
+     *
+     * @param stream number of the call
+     * @param data the bytes, owned by the frame
+     * @return the frame
+     */
+    public static Frame chunk(long stream, ByteBuf data) {
+        return new Frame(FrameType.CHUNK, stream, "", data);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/wire/FrameCodec.java
@@ -0,0 +1,70 @@
+package org.heatherhaven.node.wire;
+
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageCodec;
+
+/** Splits a byte stream into frames and joins frames to a byte stream. */
+public final class FrameCodec extends ByteToMessageCodec<Frame> {
+
+    private static final int LENGTH_BYTES = Integer.BYTES;
+    private static final int HEAD_BYTES = 1 + Long.BYTES;
+
+    private final int maxFrameBytes;
+
+    /**
+     * Creates a codec for one connection.
+     *
+     * @param maxFrameBytes largest frame accepted, bytes
+     */
+    public FrameCodec(int maxFrameBytes) {
+        super(Frame.class);
+        this.maxFrameBytes = maxFrameBytes;
+    }
+
+    @Override
+    protected void encode(ChannelHandlerContext ctx, Frame frame, ByteBuf out) {
+        int start = out.writerIndex();
+        out.writeInt(0);
+        out.writeByte(frame.type().code());
+        out.writeLong(frame.stream());
+        if (frame.type() == FrameType.CHUNK) {
+            out.writeBytes(frame.data());
+            frame.data().release();
+        } else {
+            WireCodec.write(frame.type(), frame.body(), out);
+        }
+        out.setInt(start, out.writerIndex() - start - LENGTH_BYTES);
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (in.readableBytes() < LENGTH_BYTES) {
+            return;
+        }
+        int length = in.getInt(in.readerIndex());
+        if (length < HEAD_BYTES || length > maxFrameBytes) {
+            throw new WireException(WireException.Code.BAD_PAYLOAD, "a frame of " + length + " bytes");
+        }
+        if (in.readableBytes() < LENGTH_BYTES + length) {
+            return;
+        }
+        in.skipBytes(LENGTH_BYTES);
+        int code = in.readByte();
+        long stream = in.readLong();
+        FrameType type = FrameType.of(code)
+                .orElseThrow(() -> new WireException(WireException.Code.UNKNOWN_TYPE, "frame type " + code));
+        ByteBuf payload = in.readRetainedSlice(length - HEAD_BYTES);
+        if (type == FrameType.CHUNK) {
+            out.add(Frame.chunk(stream, payload));
+            return;
+        }
+        try {
+            out.add(Frame.of(type, stream, WireCodec.read(type, payload)));
+        } finally {
+            payload.release();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherhaven/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for what surrounds the system: platform, targets and callers; never part of a node. */
+package org.heatherhaven.standin;
--- /dev/null
+++ b/standin/src/main/java/org/heatherhaven/standin/platform/PlatformServer.java
@@ -0,0 +1,193 @@
+package org.heatherhaven.standin.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import io.netty.channel.EventLoopGroup;
+import org.heatherhaven.standin.http.StandinServer;
+import org.heatherhaven.standin.http.StandinServer.Reply;
+import org.heatherhaven.standin.http.StandinServer.Request;
+import org.heatherhaven.standin.platform.ObjectStore.Condition;
+import org.heatherhaven.standin.platform.ObjectStore.Stored;
+import org.heatherhaven.standin.platform.ObjectStore.Written;
+
+/** Serves the object API over HTTP; POST /faults changes how it misbehaves. */
+public final class PlatformServer {
+
+    private static final String OBJECTS = "/objects";
+    private static final Duration POLL = Duration.ofMillis(10);
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final ObjectStore store = new ObjectStore();
+    private final StandinServer server = new StandinServer(this::handle);
+    private final EventLoopGroup group;
+    private final SplittableRandom random;
+    private volatile PlatformFaults faults = PlatformFaults.NONE;
+
+    /**
+     * Creates a platform without objects.
+     *
+     * @param group threads of the connections
+     * @param seed start of the choice of lost answers
+     */
+    public PlatformServer(EventLoopGroup group, long seed) {
+        this.group = group;
+        this.random = new SplittableRandom(seed);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address where to listen; port 0 for any
+     * @return the address in use
+     */
+    public InetSocketAddress listen(InetSocketAddress address) {
+        return server.listen(group, address);
+    }
+
+    /**
+     * Changes how the platform misbehaves.
+     *
+     * @param next the faults from now on
+     */
+    public void setFaults(PlatformFaults next) {
+        faults = next;
+    }
+
+    /**
+     * The objects, for a look at their counters.
+     *
+     * @return the store
+     */
+    public ObjectStore store() {
+        return store;
+    }
+
+    /** Stops listening. */
+    public void close() {
+        server.close();
+    }
+
+    private CompletableFuture<Reply> handle(Request request) {
+        if (request.path().equals("/faults")) {
+            return CompletableFuture.completedFuture(changeFaults(request));
+        }
+        PlatformFaults now = faults;
+        CompletableFuture<Reply> reply = new CompletableFuture<>();
+        group.schedule(() -> answer(request, now, reply), now.delay().toMillis(), TimeUnit.MILLISECONDS);
+        return reply;
+    }
+
+    private Reply changeFaults(Request request) {
+        try {
+            JsonNode body = JSON.readTree(request.body());
+            setFaults(new PlatformFaults(
+                    body.path("down").asBoolean(),
+                    Duration.ofMillis(body.path("delay_ms").asLong()),
+                    body.path("lose_answers").asDouble()));
+            return Reply.of(204, new byte[0]);
+        } catch (IOException e) {
+            return Reply.of(400, new byte[0]);
+        }
+    }
+
+    private void answer(Request request, PlatformFaults now, CompletableFuture<Reply> reply) {
+        if (now.down()) {
+            reply.complete(Reply.of(503, new byte[0]));
+        } else if (request.method().equals("GET") && request.path().equals(OBJECTS)) {
+            long waitMillis = Long.parseLong(request.query().getOrDefault("wait_ms", "0"));
+            list(request, System.nanoTime() + Duration.ofMillis(waitMillis).toNanos(), reply);
+        } else {
+            Reply done = object(request);
+            boolean write = !request.method().equals("GET");
+            if (write && lose(now)) {
+                reply.completeExceptionally(new IOException("answer lost"));
+            } else {
+                reply.complete(done);
+            }
+        }
+    }
+
+    private synchronized boolean lose(PlatformFaults now) {
+        return now.loseAnswers() > 0 && random.nextDouble() < now.loseAnswers();
+    }
+
+    private void list(Request request, long until, CompletableFuture<Reply> reply) {
+        List<Stored> found = store.list(
+                request.query().getOrDefault("prefix", ""),
+                request.query().getOrDefault("after", ""),
+                Integer.parseInt(request.query().getOrDefault("limit", "100")));
+        if (found.isEmpty() && System.nanoTime() < until && !faults.down()) {
+            group.schedule(() -> list(request, until, reply), POLL.toMillis(), TimeUnit.MILLISECONDS);
+            return;
+        }
+        reply.complete(faults.down() ? Reply.of(503, new byte[0]) : Reply.of(200, json(found)));
+    }
+
+    private static byte[] json(List<Stored> found) {
+        try {
+            ArrayNode array = JSON.createArrayNode();
+            for (Stored object : found) {
+                array.addObject()
+                        .put("key", object.key())
+                        .put("version", object.version())
+                        .set("value", JSON.readTree(object.value()));
+            }
+            return JSON.writeValueAsBytes(array);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        } catch (IOException e) {
+            throw new IllegalStateException("an object is not JSON", e);
+        }
+    }
+
+    private Reply object(Request request) {
+        String key = request.path().substring(OBJECTS.length() + 1);
+        return switch (request.method()) {
+            case "GET" ->
+                store.get(key)
+                        .map(object -> versioned(200, object.version(), object.value()))
+                        .orElse(Reply.of(404, new byte[0]));
+            case "PUT" -> put(key, request);
+            case "DELETE" ->
+                Reply.of(
+                        status(
+                                store.delete(
+                                        key, Long.parseLong(request.headers().get("if-match"))),
+                                204),
+                        new byte[0]);
+            default -> Reply.of(405, new byte[0]);
+        };
+    }
+
+    private Reply put(String key, Request request) {
+        boolean create = request.headers().containsKey("if-none-match");
+        Written written = create
+                ? store.create(key, request.body())
+                : store.update(
+                        key, request.body(), Long.parseLong(request.headers().get("if-match")));
+        return versioned(status(written.condition(), create ? 201 : 200), written.version(), new byte[0]);
+    }
+
+    private static int status(Condition condition, int success) {
+        return switch (condition) {
+            case HELD -> success;
+            case FAILED -> 412;
+            case ABSENT -> 404;
+        };
+    }
+
+    private static Reply versioned(int status, long version, byte[] body) {
+        return new Reply(status, Map.of("ETag", Long.toString(version)), body);
+    }
+}
