Proofs of exclusive rights and team rates over a small coupled fleet; a late hand-over page no longer mints tokens

A page of a hand-over that arrived after the right had moved was kept, and any later look at the platform opened the bucket from it again. Change: pages of an older generation are dropped; inherited loans carry a number no borrower can report.

--- a/core/src/main/java/org/heatherhaven/core/logic/node/HandOvers.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/HandOvers.java
@@ -69,6 +69,14 @@
     }
 
     static void received(Step step, HandOver page) {
+        boolean settled = step.rights
+                .find(page.right())
+                .filter(known -> known.grant().generation() > page.generation())
+                .isPresent();
+        if (settled) {
+            // A page that comes late or twice would bring back tokens that are spent, and forget keys that ran since.
+            return;
+        }
         Incoming known = step.incoming.get(page.right());
         boolean same = known != null && known.generation() == page.generation();
         Incoming next = (same ? known : Incoming.of(page)).with(page);
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Bucket.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Bucket.java
@@ -87,13 +87,16 @@
         return new Bucket(term, tokens - amount, refilledAt, borrowers.plus(owner, new Borrower(seq, loans)));
     }
 
-    /** Takes over what a holder before has left; its loans weigh like one loan of the longest life. */
+    /**
+     * Takes over what a holder before has left; its loans weigh like one loan of the longest life, whose number no
+     * borrower can report as spent.
+     */
     Bucket inherited(Owner from, double left, double lent, Instant now) {
         Loan loan = new Loan(lent, now.plus(RightsLogic.withDrift(RightsLogic.LONGEST_LOAN)));
         PMap<Owner, Borrower> next = lent <= 0
                 ? borrowers
                 : borrowers.plus(
-                        from, new Borrower(0, HashTreePMap.<Long, Loan>empty().plus(0L, loan)));
+                        from, new Borrower(0, HashTreePMap.<Long, Loan>empty().plus(Long.MAX_VALUE, loan)));
         return new Bucket(term, tokens + left, refilledAt, next);
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
@@ -0,0 +1,391 @@
+package org.heatherhaven.core.fleet;
+
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.event.ControlEvent;
+import org.heatherhaven.core.event.Event;
+import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.event.PlatformEvent;
+import org.heatherhaven.core.event.TrafficEvent;
+import org.heatherhaven.core.event.TrafficEvent.CallRequest;
+import org.heatherhaven.core.event.TrafficEvent.Door;
+import org.heatherhaven.core.event.TrafficEvent.TargetResult;
+import org.heatherhaven.core.logic.node.NodeReducer;
+import org.heatherhaven.core.logic.node.NodeRules;
+import org.heatherhaven.core.logic.node.NodeState;
+import org.heatherhaven.core.model.CallHead;
+import org.heatherhaven.core.model.Header;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.MemberStatus;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Outcome;
+import org.heatherhaven.core.model.PolicyPatch;
+import org.heatherhaven.core.model.Zone;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/**
+ * Couples the reducers of a few nodes by a queue that loses, doubles, delays and reorders, with a clock a node.
+ *
+ * <p>A test helper: no sockets, no load, no model of machines.
+ */
+public final class SmallFleet {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final Duration TICK = Duration.ofMillis(50);
+
+    public final History history = new History();
+    public final Map<String, List<Effect.AnswerPatch>> patchAnswers = new HashMap<>();
+    public final List<TestNode> nodes = new ArrayList<>();
+    private final TestPlatform platform = new TestPlatform();
+    private final PriorityQueue<Due> queue =
+            new PriorityQueue<>(Comparator.comparing(Due::at).thenComparing(Due::order));
+    private final SplittableRandom random;
+    private final Map<String, BiConsumer<TestNode, OfferKey>> targets = new HashMap<>();
+    private Faults faults;
+    private boolean platformDown;
+    private Instant now = START;
+    private long order;
+    private Duration workTime = Duration.ofMillis(20);
+    private TargetResult workResult = TargetResult.ANSWERED;
+    private Consumer<SmallFleet> afterEachStep = fleet -> {};
+
+    private record Due(Instant at, long order, Runnable action) {}
+
+    public SmallFleet(long seed, Faults faults) {
+        this.random = new SplittableRandom(seed);
+        this.faults = faults;
+    }
+
+    public SplittableRandom random() {
+        return random;
+    }
+
+    public Instant now() {
+        return now;
+    }
+
+    public void setFaults(Faults next) {
+        faults = next;
+    }
+
+    public void setPlatformDown(boolean down) {
+        platformDown = down;
+    }
+
+    public void setWork(Duration time, TargetResult result) {
+        workTime = time;
+        workResult = result;
+    }
+
+    public void afterEachStep(Consumer<SmallFleet> check) {
+        afterEachStep = check;
+    }
+
+    public long platformWrites() {
+        return platform.writes;
+    }
+
+    public long newestVersion() {
+        return platform.versions.isEmpty() ? 0 : platform.versions.lastKey();
+    }
+
+    public TestNode start(String address, String zone, String service, NodeRules rules) {
+        NodeId id = new NodeId(address);
+        double rate = 1 + (2 * random.nextDouble() - 1) * faults.clockDrift();
+        long epoch = now.toEpochMilli();
+        Member self = new Member(id, epoch, 0, MemberStatus.ALIVE, new Zone("region", zone), service, 8);
+        TestNode node = new TestNode(id, NodeState.start(rules, self, now), now, rate);
+        nodes.removeIf(old -> old.id.equals(id) && !old.alive);
+        nodes.add(node);
+        platform.members.put(address, self);
+        listMembers(node);
+        after(TICK, () -> tick(node));
+        return node;
+    }
+
+    private void tick(TestNode node) {
+        if (node.alive) {
+            deliver(node, new ControlEvent.Tick());
+            after(TICK, () -> tick(node));
+        }
+    }
+
+    /** Ends a node's process; what its target was doing goes on. */
+    public void kill(TestNode node) {
+        node.alive = false;
+        cutLinksTo(node);
+        for (TestNode other : nodes) {
+            Long link = other.alive ? node.links.get(other.id) : null;
+            if (link != null) {
+                after(Duration.ofMillis(1), () -> deliver(other, new TrafficEvent.LinkClosed(link)));
+            }
+        }
+    }
+
+    public void freeze(TestNode node, Duration time) {
+        node.frozenUntil = now.plus(time);
+        after(time, () -> thaw(node));
+    }
+
+    private void thaw(TestNode node) {
+        while (node.alive && !node.frozen(now) && !node.inbox.isEmpty()) {
+            step(node, node.inbox.poll());
+        }
+    }
+
+    public void drain(TestNode node) {
+        deliver(node, new ControlEvent.DrainAsked());
+    }
+
+    public void patch(TestNode node, PolicyPatch patch) {
+        deliver(node, new ControlEvent.PatchSubmitted(patch));
+    }
+
+    /** Sends a call from outside to a node; the submission names it in the history. */
+    public void call(TestNode node, String submission, String path, Optional<String> key, Optional<String> idempotency) {
+        long number = node.nextCall++;
+        CallRequest request = new CallRequest(
+                "POST",
+                path,
+                List.of(new Header("submission", submission)),
+                key,
+                Optional.empty(),
+                Optional.empty(),
+                idempotency);
+        history.submissionOfRequest.put(node.id + "#" + number, submission);
+        deliver(node, new TrafficEvent.CallArrived(number, Door.CALLER, request));
+    }
+
+    /** Lets a target make a call of its own for the call that it works on. */
+    public void nested(TestNode node, String context, String submission, String path) {
+        long number = node.nextCall++;
+        CallRequest request = new CallRequest(
+                "GET",
+                path,
+                List.of(new Header("submission", submission)),
+                Optional.empty(),
+                Optional.of(context),
+                Optional.empty(),
+                Optional.empty());
+        history.submissionOfRequest.put(node.id + "#" + number, submission);
+        deliver(node, new TrafficEvent.CallArrived(number, Door.TARGET, request));
+    }
+
+    /** Says what a target of a service does with a call, in place of working for the usual time. */
+    public void onRun(String service, BiConsumer<TestNode, OfferKey> action) {
+        targets.put(service, action);
+    }
+
+    public void end(TestNode node, OfferKey key, TargetResult result) {
+        deliver(node, new TrafficEvent.TargetEnded(key, result));
+    }
+
+    public void after(Duration delay, Runnable action) {
+        queue.add(new Due(now.plus(delay), order++, action));
+    }
+
+    public void run(Duration time) {
+        Instant end = now.plus(time);
+        while (!queue.isEmpty() && !queue.peek().at().isAfter(end)) {
+            Due due = queue.poll();
+            now = due.at();
+            due.action().run();
+        }
+        now = end;
+    }
+
+    private void deliver(TestNode node, Event event) {
+        if (!node.alive) {
+            return;
+        }
+        if (node.frozen(now)) {
+            boolean tick = event instanceof ControlEvent.Tick;
+            if (!tick || node.inbox.isEmpty()) {
+                node.inbox.add(event);
+            }
+            return;
+        }
+        step(node, event);
+    }
+
+    private void step(TestNode node, Event event) {
+        Instant clock = node.clock(now);
+        Instant last = node.state.steppedAt();
+        NodeReducer.Result result = NodeReducer.reduce(node.state, event, clock.isBefore(last) ? last : clock);
+        node.state = result.state();
+        result.effects().forEach(effect -> run(node, effect));
+        afterEachStep.accept(this);
+    }
+
+    private void run(TestNode node, Effect effect) {
+        if (effect instanceof Effect.Send send) {
+            send(node, send);
+        } else if (effect instanceof Effect.ForwardCall forward) {
+            forward(node, forward);
+        } else if (effect instanceof Effect.RunOffer offer) {
+            work(node, offer);
+        } else if (effect instanceof Effect.RefuseOffer refuse) {
+            answer(node, refuse.key(), attempt -> new TrafficEvent.AttemptRefused(
+                    attempt.call(), attempt.attempt(), refuse.refusal(), refuse.signal(), true));
+        } else if (effect instanceof Effect.FinishOffer finish) {
+            answer(node, finish.key(), attempt -> ended(attempt, finish));
+        } else if (effect instanceof Effect.RefuseCall refuse) {
+            String submission = history.submissionOfRequest.get(node.id + "#" + refuse.call());
+            history.refusals.add(new History.Refused(now, submission, refuse.refusal()));
+        } else if (effect instanceof Effect.CountRetry) {
+            history.retries++;
+        } else if (effect instanceof Effect.CloseLinks) {
+            cutLinksTo(node);
+            long floor = node.nextLink;
+            after(Duration.ofMillis(1), () -> deliver(node, new ControlEvent.LinksClosed(floor)));
+        } else if (effect instanceof Effect.AnswerPatch answer) {
+            patchAnswers.computeIfAbsent(answer.patchId(), any -> new ArrayList<>()).add(answer);
+        } else if (effect instanceof Effect.Leave) {
+            node.left = true;
+            node.alive = false;
+            cutLinksTo(node);
+        } else {
+            runPlatform(node, effect);
+        }
+    }
+
+    private TrafficEvent ended(TestNode.Attempt attempt, Effect.FinishOffer finish) {
+        if (finish.whole()) {
+            history.answered.add(
+                    history.submissionOfRequest.get(attempt.entry().id + "#" + attempt.call()));
+        }
+        return new TrafficEvent.AttemptEnded(attempt.call(), attempt.attempt(), finish.whole(), finish.signal());
+    }
+
+    private void send(TestNode from, Effect.Send send) {
+        if (send.to().equals(from.id)) {
+            after(Duration.ZERO, () -> deliver(from, new ControlEvent.PeerSaid(send.message())));
+            return;
+        }
+        int copies = random.nextDouble() < faults.lossOfMessages() ? 0 : random.nextDouble() < faults.doubling() ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            after(someOf(faults.slowestMessage()), () -> find(send.to())
+                    .ifPresent(node -> deliver(node, new ControlEvent.PeerSaid(send.message()))));
+        }
+    }
+
+    private Duration someOf(Duration longest) {
+        double skewed = Math.pow(random.nextDouble(), 3);
+        return Duration.ofNanos((long) (longest.toNanos() * skewed) + 200_000);
+    }
+
+    private Optional<TestNode> find(NodeId id) {
+        return nodes.stream().filter(node -> node.id.equals(id) && node.alive).findFirst();
+    }
+
+    private void forward(TestNode entry, Effect.ForwardCall forward) {
+        CallHead head = forward.head();
+        if (forward.attempt() == 1 && head.depth() == 0 && !head.team().isEmpty()) {
+            history.admissions.add(new History.Admission(now, head.team(), entry.id.value()));
+        }
+        Optional<TestNode> target = find(forward.to());
+        if (target.isEmpty()) {
+            after(Duration.ofMillis(1), () -> deliver(
+                    entry, new TrafficEvent.AttemptLost(forward.call(), forward.attempt(), Outcome.NOT_RUN, true)));
+            return;
+        }
+        TestNode guard = target.get();
+        long link = entry.links.computeIfAbsent(guard.id, any -> guard.nextLink++);
+        OfferKey key = new OfferKey(link, guard.nextStream++);
+        guard.offers.put(key, new TestNode.Attempt(entry, forward.call(), forward.attempt()));
+        after(Duration.ofMillis(1), () -> deliver(guard, new TrafficEvent.OfferArrived(key, head)));
+    }
+
+    private void work(TestNode node, Effect.RunOffer offer) {
+        CallHead head = node.state.guard().running().get(offer.key()).call().head();
+        String submission = head.headers().get(0).value();
+        history.executions.add(
+                new History.Execution(now, head.requestId(), head.rootId(), submission, node.id.value()));
+        BiConsumer<TestNode, OfferKey> action = targets.get(head.service());
+        if (action != null) {
+            action.accept(node, offer.key());
+        } else {
+            TargetResult result = workResult;
+            after(workTime, () -> end(node, offer.key(), result));
+        }
+    }
+
+    private void answer(TestNode guard, OfferKey key, Function<TestNode.Attempt, Event> event) {
+        TestNode.Attempt attempt = guard.offers.remove(key);
+        if (attempt == null) {
+            return;
+        }
+        after(Duration.ofMillis(1), () -> deliver(attempt.entry(), event.apply(attempt)));
+    }
+
+    /** Breaks every connection that leads to a node; whoever waits on one can't know what happened. */
+    public void cutLinksTo(TestNode node) {
+        Map<OfferKey, TestNode.Attempt> waiting = new HashMap<>(node.offers);
+        node.offers.clear();
+        nodes.forEach(other -> other.links.remove(node.id));
+        waiting.values().forEach(attempt -> after(
+                Duration.ofMillis(1),
+                () -> deliver(
+                        attempt.entry(),
+                        new TrafficEvent.AttemptLost(attempt.call(), attempt.attempt(), Outcome.UNKNOWN, true))));
+    }
+
+    private void listMembers(TestNode node) {
+        PlatformEvent listed = new PlatformEvent.MembersListed(List.copyOf(platform.members.values()));
+        after(Duration.ofMillis(2), () -> deliver(node, platformDown ? new ControlEvent.Tick() : listed));
+    }
+
+    private void runPlatform(TestNode node, Effect effect) {
+        if (effect instanceof Effect.ReadGrant read) {
+            ask(node, () -> platform.read(read.right()), new PlatformEvent.GrantUnsettled(read.right()), false);
+        } else if (effect instanceof Effect.CreateGrant create) {
+            ask(node, () -> platform.create(create), new PlatformEvent.GrantUnsettled(create.right()), true);
+        } else if (effect instanceof Effect.UpdateGrant update) {
+            ask(node, () -> platform.update(update), new PlatformEvent.GrantUnsettled(update.right()), true);
+        } else if (effect instanceof Effect.WritePolicy write) {
+            PlatformEvent lost = new PlatformEvent.PolicyWritten(
+                    write.version(), PlatformEvent.CommitResult.UNSETTLED, Optional.empty());
+            ask(node, () -> platform.commit(write), lost, true);
+        } else if (effect instanceof Effect.ReadPolicy read) {
+            after(Duration.ofMillis(500), () -> ask(
+                    node, () -> platform.policyAfter(read.after(), 0), new PlatformEvent.PolicyReadFailed(), false));
+        } else if (effect instanceof Effect.ListMembers) {
+            listMembers(node);
+        } else if (effect instanceof Effect.RemoveAnnouncement remove) {
+            platform.members.remove(remove.member().node().value());
+        }
+    }
+
+    /** Calls the platform: it may be down, the answer may be lost, and a write may take effect long after that. */
+    private void ask(TestNode node, Supplier<PlatformEvent> call, PlatformEvent lost, boolean write) {
+        Duration there = someOf(Duration.ofMillis(10));
+        boolean late = write && random.nextDouble() < faults.lateWrites();
+        boolean lose = random.nextDouble() < faults.lossOfAnswers();
+        if (platformDown) {
+            after(Duration.ofMillis(300), () -> deliver(node, lost));
+            return;
+        }
+        if (late) {
+            after(someOf(faults.latestWrite()), call::get);
+            after(Duration.ofMillis(300), () -> deliver(node, lost));
+            return;
+        }
+        after(there, () -> {
+            PlatformEvent result = call.get();
+            after(someOf(Duration.ofMillis(10)), () -> deliver(node, lose ? lost : result));
+        });
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/heatherhaven/core/fleet/TestNode.java
@@ -0,0 +1,65 @@
+package org.heatherhaven.core.fleet;
+
+import org.heatherhaven.core.event.Event;
+import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.logic.node.NodeState;
+import org.heatherhaven.core.model.NodeId;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Queue;
+
+/** One node of a {@link SmallFleet}: its state, its clock, and what of it lives outside the reducer. */
+public final class TestNode {
+
+    final NodeId id;
+    final double clockRate;
+    final Instant bornAt;
+    final Queue<Event> inbox = new ArrayDeque<>();
+    final Map<NodeId, Long> links = new HashMap<>();
+    final Map<OfferKey, Attempt> offers = new HashMap<>();
+    NodeState state;
+    Instant frozenUntil = Instant.MIN;
+    boolean alive = true;
+    boolean left;
+    long nextLink = 1;
+    long nextStream = 1;
+    long nextCall = 1;
+
+    record Attempt(TestNode entry, long call, int attempt) {}
+
+    TestNode(NodeId id, NodeState state, Instant bornAt, double clockRate) {
+        this.id = id;
+        this.state = state;
+        this.bornAt = bornAt;
+        this.clockRate = clockRate;
+    }
+
+    public NodeId id() {
+        return id;
+    }
+
+    public NodeState state() {
+        return state;
+    }
+
+    public boolean alive() {
+        return alive;
+    }
+
+    Instant clock(Instant trueTime) {
+        Duration elapsed = Duration.between(bornAt, trueTime);
+        return bornAt.plusNanos((long) (elapsed.toNanos() * clockRate));
+    }
+
+    public Instant clockAt(Instant trueTime) {
+        return clock(trueTime);
+    }
+
+    boolean frozen(Instant trueTime) {
+        return trueTime.isBefore(frozenUntil);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/heatherhaven/core/fleet/TestPlatform.java
@@ -0,0 +1,65 @@
+package org.heatherhaven.core.fleet;
+
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.event.PlatformEvent;
+import org.heatherhaven.core.event.PlatformEvent.CommitResult;
+import org.heatherhaven.core.model.Grant;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.PolicyVersion;
+import org.heatherhaven.core.model.RightId;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** The platform's objects, changed one call at a time; {@link SmallFleet} decides when calls arrive and answers leave. */
+final class TestPlatform {
+
+    record StoredGrant(Grant grant, long version) {}
+
+    final Map<RightId, StoredGrant> grants = new HashMap<>();
+    final TreeMap<Long, PolicyVersion> versions = new TreeMap<>();
+    final TreeMap<String, Member> members = new TreeMap<>();
+    long writes;
+    private long lastVersion;
+
+    PlatformEvent read(RightId right) {
+        StoredGrant stored = grants.get(right);
+        return stored == null
+                ? new PlatformEvent.GrantAbsent(right)
+                : new PlatformEvent.GrantSeen(right, stored.grant(), stored.version());
+    }
+
+    PlatformEvent create(Effect.CreateGrant effect) {
+        writes++;
+        if (!grants.containsKey(effect.right())) {
+            lastVersion++;
+            grants.put(effect.right(), new StoredGrant(effect.grant(), lastVersion));
+        }
+        return read(effect.right());
+    }
+
+    PlatformEvent update(Effect.UpdateGrant effect) {
+        writes++;
+        StoredGrant stored = grants.get(effect.right());
+        if (stored != null && stored.version() == effect.objectVersion()) {
+            lastVersion++;
+            grants.put(effect.right(), new StoredGrant(effect.grant(), lastVersion));
+        }
+        return read(effect.right());
+    }
+
+    PlatformEvent commit(Effect.WritePolicy effect) {
+        writes++;
+        PolicyVersion existing = versions.putIfAbsent(effect.version().version(), effect.version());
+        CommitResult result = existing == null ? CommitResult.CREATED : CommitResult.EXISTS;
+        return new PlatformEvent.PolicyWritten(effect.version(), result, Optional.ofNullable(existing));
+    }
+
+    PlatformEvent policyAfter(long after, long askedAgoMillis) {
+        return new PlatformEvent.PolicyRead(
+                Optional.empty(), List.copyOf(versions.tailMap(after, false).values()), askedAgoMillis);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/heatherhaven/core/proof/ExclusiveRightsTest.java
@@ -0,0 +1,99 @@
+package org.heatherhaven.core.proof;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.heatherhaven.core.fleet.Faults;
+import org.heatherhaven.core.fleet.Policies;
+import org.heatherhaven.core.fleet.SmallFleet;
+import org.heatherhaven.core.fleet.TestNode;
+import org.heatherhaven.core.logic.node.NodeRules;
+import org.heatherhaven.core.model.RightId;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** At no moment may two processes use the same exclusive right. */
+class ExclusiveRightsTest {
+
+    @Property(tries = 60, seed = "20261204")
+    void noTwoNodesUseARightAtOnceUnderFreezesKillsLossesAndLateWrites(
+            @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(200, 50, 2));
+        Fleets.keepCalling(fleet, Duration.ofSeconds(60), 5);
+        fleet.run(Duration.ofSeconds(2));
+        fleet.setFaults(Faults.HARSH);
+        List<String> doubles = new ArrayList<>();
+        fleet.afterEachStep(now -> doubles.addAll(usedTwice(now)));
+        Fleets.disturb(fleet, Duration.ofSeconds(50));
+        fleet.run(Duration.ofSeconds(60));
+        if (!doubles.isEmpty()) {
+            throw new AssertionError("used by two at once: " + doubles.get(0));
+        }
+    }
+
+    private static List<String> usedTwice(SmallFleet fleet) {
+        Map<RightId, String> users = new HashMap<>();
+        List<String> twice = new ArrayList<>();
+        for (TestNode node : fleet.nodes) {
+            if (!node.alive()) {
+                continue;
+            }
+            for (RightId right : node.state().rights().rights().keySet()) {
+                if (!node.state().rights().usable(right, Fleets.clock(node, fleet))) {
+                    continue;
+                }
+                String other = users.put(right, node.id().value());
+                if (other != null) {
+                    twice.add(right + " by " + other + " and " + node.id());
+                }
+            }
+        }
+        return twice;
+    }
+
+    @Property(tries = 20, seed = "20261204")
+    void aRightIsUsableAgainSoonAfterItsHolderWasKilled(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(200, 50, 1));
+        RightId share = new RightId(RightId.Kind.SHARE, "banquets", 0);
+        fleet.run(Duration.ofSeconds(2));
+        TestNode holder = userOf(fleet, share).orElseThrow();
+        fleet.kill(holder);
+        fleet.run(Duration.ofSeconds(8));
+        if (userOf(fleet, share).isEmpty()) {
+            throw new AssertionError("nobody can use " + share + " 8 s after " + holder.id() + " was killed");
+        }
+    }
+
+    @Property(tries = 20, seed = "20261204")
+    void anOutageOfThePlatformCostsNothingWhilePairsLive(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(200, 50, 1));
+        RightId share = new RightId(RightId.Kind.SHARE, "banquets", 0);
+        fleet.run(Duration.ofSeconds(2));
+        fleet.setPlatformDown(true);
+        long writes = fleet.platformWrites();
+        for (int second = 0; second < 120; second++) {
+            fleet.run(Duration.ofSeconds(1));
+            if (userOf(fleet, share).isEmpty()) {
+                throw new AssertionError("unusable after " + second + " s of outage");
+            }
+        }
+        if (fleet.platformWrites() != writes) {
+            throw new AssertionError("the platform was written without a failure");
+        }
+    }
+
+    private static Optional<TestNode> userOf(SmallFleet fleet, RightId right) {
+        return fleet.nodes.stream()
+                .filter(node -> node.alive() && node.state().rights().usable(right, Fleets.clock(node, fleet)))
+                .findFirst();
+    }
+
+    static NodeRules rules(long seed) {
+        return NodeRules.defaults(seed);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/heatherhaven/core/proof/Fleets.java
@@ -0,0 +1,105 @@
+package org.heatherhaven.core.proof;
+
+import org.heatherhaven.core.fleet.Faults;
+import org.heatherhaven.core.fleet.Policies;
+import org.heatherhaven.core.fleet.SmallFleet;
+import org.heatherhaven.core.fleet.TestNode;
+import org.heatherhaven.core.logic.node.NodeRules;
+import org.heatherhaven.core.model.PolicyPatch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+/** Fleets and disturbances that several proofs share. */
+final class Fleets {
+
+    private static final List<String> SERVICES = List.of("bookings", "pricing");
+
+    private Fleets() {}
+
+    static SmallFleet started(long seed, Faults faults, int nodes, PolicyPatch policy) {
+        SmallFleet fleet = new SmallFleet(seed, faults);
+        for (int i = 0; i < nodes; i++) {
+            start(fleet, i, seed);
+        }
+        fleet.run(Duration.ofSeconds(2));
+        fleet.patch(fleet.nodes.get(0), policy);
+        fleet.run(Duration.ofSeconds(4));
+        return fleet;
+    }
+
+    static TestNode start(SmallFleet fleet, int index, long seed) {
+        return fleet.start(
+                "10.0.0." + index + ":7000",
+                "zone-" + index % 3,
+                SERVICES.get(index % SERVICES.size()),
+                NodeRules.defaults(seed + index));
+    }
+
+    static Instant clock(TestNode node, SmallFleet fleet) {
+        return node.clockAt(fleet.now());
+    }
+
+    /** Sends calls of a team to nodes at random for a while. */
+    static void keepCalling(SmallFleet fleet, Duration time, int everyMillis) {
+        Instant end = fleet.now().plus(time);
+        int[] number = {0};
+        Runnable[] next = new Runnable[1];
+        next[0] = () -> {
+            if (fleet.now().isAfter(end)) {
+                return;
+            }
+            anyAlive(fleet).ifPresent(node -> {
+                number[0]++;
+                fleet.call(node, "call-" + number[0], "/pricing/x", Policies.key(), Optional.empty());
+            });
+            fleet.after(Duration.ofMillis(1 + fleet.random().nextInt(2 * everyMillis)), next[0]);
+        };
+        fleet.after(Duration.ZERO, next[0]);
+    }
+
+    static Optional<TestNode> anyAlive(SmallFleet fleet) {
+        List<TestNode> alive = fleet.nodes.stream().filter(TestNode::alive).toList();
+        return alive.isEmpty() ? Optional.empty() : Optional.of(alive.get(fleet.random().nextInt(alive.size())));
+    }
+
+    /** Freezes, kills and restarts nodes, and takes the platform down, at random for a while. */
+    static void disturb(SmallFleet fleet, Duration time) {
+        Instant end = fleet.now().plus(time);
+        Runnable[] next = new Runnable[1];
+        next[0] = () -> {
+            if (fleet.now().isAfter(end)) {
+                fleet.setPlatformDown(false);
+                return;
+            }
+            disturbOnce(fleet);
+            fleet.after(Duration.ofMillis(500 + fleet.random().nextInt(4_000)), next[0]);
+        };
+        fleet.after(Duration.ofMillis(500), next[0]);
+    }
+
+    private static void disturbOnce(SmallFleet fleet) {
+        Optional<TestNode> victim = anyAlive(fleet);
+        int kind = fleet.random().nextInt(10);
+        if (victim.isEmpty() || kind < 2) {
+            fleet.setPlatformDown(kind == 0);
+        } else if (kind < 6) {
+            fleet.freeze(victim.get(), Duration.ofMillis(500 + fleet.random().nextInt(9_000)));
+        } else if (kind < 8) {
+            fleet.cutLinksTo(victim.get());
+        } else {
+            killAndRestart(fleet, victim.get());
+        }
+    }
+
+    private static void killAndRestart(SmallFleet fleet, TestNode victim) {
+        String address = victim.id().value();
+        int index = Integer.parseInt(address.substring(address.lastIndexOf('.') + 1, address.indexOf(':')));
+        fleet.kill(victim);
+        fleet.after(
+                Duration.ofMillis(200 + fleet.random().nextInt(6_000)),
+                () -> start(fleet, index, fleet.random().nextLong(1_000_000)));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/heatherhaven/core/proof/TeamRateTest.java
@@ -0,0 +1,115 @@
+package org.heatherhaven.core.proof;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.heatherhaven.core.fleet.Faults;
+import org.heatherhaven.core.fleet.History;
+import org.heatherhaven.core.fleet.Policies;
+import org.heatherhaven.core.fleet.SmallFleet;
+import org.heatherhaven.core.fleet.TestNode;
+import org.heatherhaven.core.model.Reason;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+/** No team gets more than its rate and burst, counted over all nodes together. */
+class TeamRateTest {
+
+    private static final double RATE = 50;
+    private static final double BURST = 20;
+
+    /** Clocks of the test fleet run up to this much fast. */
+    private static final double DRIFT = 1.02;
+
+    @Property(tries = 50, seed = "20261204")
+    void inEveryWindowAdmissionsStayWithinRateAndBurst(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(RATE, BURST, 2));
+        Fleets.keepCalling(fleet, Duration.ofSeconds(50), 4);
+        fleet.run(Duration.ofSeconds(1));
+        fleet.setFaults(Faults.HARSH);
+        Fleets.disturb(fleet, Duration.ofSeconds(45));
+        fleet.run(Duration.ofSeconds(50));
+        double most = highestLevel(fleet.history.admissions, RATE * DRIFT);
+        if (most > BURST + 1e-6) {
+            throw new AssertionError("a window held " + (most - BURST) + " admissions more than rate and burst");
+        }
+        if (fleet.history.admissions.size() < RATE) {
+            throw new AssertionError("hardly anything was admitted: " + fleet.history.admissions.size());
+        }
+    }
+
+    /** Level of a bucket that leaks at the rate; above the burst exactly if some window holds too many. */
+    static double highestLevel(List<History.Admission> admissions, double rate) {
+        double level = 0;
+        double most = 0;
+        Instant last = Instant.MIN;
+        for (History.Admission admission : admissions) {
+            if (!admission.team().equals("banquets")) {
+                continue;
+            }
+            if (!last.equals(Instant.MIN)) {
+                double seconds = Duration.between(last, admission.at()).toNanos() / 1e9;
+                level = Math.max(0, level - seconds * rate);
+            }
+            level += 1;
+            most = Math.max(most, level);
+            last = admission.at();
+        }
+        return most;
+    }
+
+    @Property(tries = 20, seed = "20261204")
+    void aTeamThatStaysWithinItsRateIsNotRefusedWhereverItsCallsEnter(
+            @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(RATE, BURST, 2));
+        TestNode only = fleet.nodes.get((int) (seed % 4));
+        for (int i = 0; i < 450; i++) {
+            String submission = "call-" + i;
+            fleet.after(
+                    Duration.ofMillis(i * 22L),
+                    () -> fleet.call(only, submission, "/pricing/x", Policies.key(), Optional.empty()));
+        }
+        fleet.run(Duration.ofSeconds(12));
+        long refused = fleet.history.refusals.stream()
+                .filter(refusal -> refusal.refusal().reason() == Reason.RATE
+                        || refusal.refusal().reason() == Reason.QUOTA_UNAVAILABLE)
+                .count();
+        if (refused > 0) {
+            throw new AssertionError(refused + " of 450 calls were refused at 90% of the rate");
+        }
+    }
+
+    @Property(tries = 20, seed = "20261204")
+    void aPlannedHandOverMintsNoTokensAndLosesNoCalls(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(RATE, BURST, 1));
+        Fleets.keepCalling(fleet, Duration.ofSeconds(12), 4);
+        fleet.run(Duration.ofSeconds(3));
+        fleet.drain(fleet.nodes.get((int) (seed % 4)));
+        fleet.run(Duration.ofSeconds(12));
+        double most = highestLevel(fleet.history.admissions, RATE);
+        if (most > BURST + 1e-6) {
+            throw new AssertionError("a window held " + (most - BURST) + " admissions too many");
+        }
+    }
+
+    @Property(tries = 20, seed = "20261204")
+    void aLowerRateHoldsOnceItIsInForce(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(RATE, BURST, 2));
+        Fleets.keepCalling(fleet, Duration.ofSeconds(20), 4);
+        fleet.run(Duration.ofSeconds(3));
+        fleet.patch(fleet.nodes.get(1), Policies.teamRate("lower", 1, RATE / 5, BURST / 5, 2));
+        fleet.run(Duration.ofSeconds(5));
+        Instant inForce = fleet.now();
+        fleet.run(Duration.ofSeconds(10));
+        List<History.Admission> after = fleet.history.admissions.stream()
+                .filter(admission -> admission.at().isAfter(inForce))
+                .toList();
+        double most = highestLevel(after, RATE / 5);
+        if (most > BURST / 5 + 1e-6) {
+            throw new AssertionError("a window held " + (most - BURST / 5) + " admissions too many");
+        }
+    }
+}
