--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
@@ -240,11 +240,21 @@
             Waiting best = next.mode().ordered()
                     ? next.queue().stream().min(order(next)).orElseThrow()
                     : next.queue().get(0);
-            next = run(next.withQueue(next.queue().minus(best)), best, now, out);
+            next = next.withQueue(next.queue().minus(best));
+            next = hopeless(next, best, now)
+                    ? refuse(next, best, Reason.TOO_LATE, "the target could not finish it in time", out)
+                    : run(next, best, now, out);
         }
         return next;
     }
 
+    /** An idle target always gets a call, or a service time that was long once would never be measured again. */
+    private static boolean hopeless(GuardState state, Waiting call, Instant now) {
+        return state.mode().sheds()
+                && !state.running().isEmpty()
+                && state.serviceTime().compareTo(Duration.between(now, call.deadline())) > 0;
+    }
+
     private static GuardState run(GuardState state, Waiting call, Instant now, Outbox out) {
         // The opening number makes the context unguessable enough only together with the link's; it is opaque.
         String context = Long.toString(call.key().link(), Character.MAX_RADIX) + "-"
--- a/core/src/main/java/org/heatherhaven/core/logic/call/EntryCall.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/call/EntryCall.java
@@ -21,6 +21,7 @@
  * @param keep fewest cohorts reported, of {@link Signal#COHORTS}
  * @param askAt when the permit is asked for again
  * @param permitted true once a permit was won
+ * @param mayHaveRun true once an attempt ended without proof that it did not run
  */
 public record EntryCall(
         CallInfo info,
@@ -32,7 +33,8 @@
         PSet<NodeId> tried,
         int keep,
         Instant askAt,
-        boolean permitted) {
+        boolean permitted,
+        boolean mayHaveRun) {
 
     /** What a call waits for. */
     public enum Stage {
@@ -43,15 +45,26 @@
 
     public static EntryCall arrived(CallInfo info, Stage stage, int retries) {
         return new EntryCall(
-                info, stage, retries, 0, 0, Optional.empty(), HashTreePSet.empty(), Signal.COHORTS, Instant.MIN, false);
+                info,
+                stage,
+                retries,
+                0,
+                0,
+                Optional.empty(),
+                HashTreePSet.empty(),
+                Signal.COHORTS,
+                Instant.MIN,
+                false,
+                false);
     }
 
     public EntryCall withStage(Stage next, Instant askAgainAt) {
-        return new EntryCall(info, next, retries, lent, attempt, target, tried, keep, askAgainAt, permitted);
+        return new EntryCall(
+                info, next, retries, lent, attempt, target, tried, keep, askAgainAt, permitted, mayHaveRun);
     }
 
     public EntryCall withPermit() {
-        return new EntryCall(info, stage, retries, lent, attempt, target, tried, keep, askAt, true);
+        return new EntryCall(info, stage, retries, lent, attempt, target, tried, keep, askAt, true, mayHaveRun);
     }
 
     public EntryCall sent(NodeId node, int handedDown) {
@@ -65,17 +78,34 @@
                 tried.plus(node),
                 keep,
                 askAt,
-                permitted);
+                permitted,
+                mayHaveRun);
     }
 
     /** Takes back what an attempt left of its part of the budget, never more than it got. */
     public EntryCall cameBack(int unspent, int kept) {
         int back = Math.max(0, Math.min(lent, unspent));
         return new EntryCall(
-                info, stage, retries + back, 0, attempt, target, tried, Math.min(keep, kept), askAt, permitted);
+                info,
+                stage,
+                retries + back,
+                0,
+                attempt,
+                target,
+                tried,
+                Math.min(keep, kept),
+                askAt,
+                permitted,
+                mayHaveRun);
     }
 
     public EntryCall paidForRetry() {
-        return new EntryCall(info, stage, retries - 1, lent, attempt, target, tried, keep, askAt, permitted);
+        return new EntryCall(
+                info, stage, retries - 1, lent, attempt, target, tried, keep, askAt, permitted, mayHaveRun);
+    }
+
+    /** Remembers that an attempt may have run, whatever becomes of those that follow. */
+    public EntryCall uncertain() {
+        return new EntryCall(info, stage, retries, lent, attempt, target, tried, keep, askAt, permitted, true);
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -105,7 +105,8 @@
         return back;
     }
 
-    private static void retryOr(Step step, EntryCall call, Refusal refusal, boolean resendable) {
+    private static void retryOr(Step step, EntryCall ended, Refusal refusal, boolean resendable) {
+        EntryCall call = refusal.outcome() == Outcome.NOT_RUN ? ended : ended.uncertain();
         CallInfo info = call.info();
         String service = info.route().service();
         boolean harmless = refusal.outcome() == Outcome.NOT_RUN || !info.unrepeatable();
@@ -144,8 +145,12 @@
     }
 
     /** Ends a call with a refusal. */
-    static void refuse(Step step, EntryCall call, Refusal refusal) {
+    static void refuse(Step step, EntryCall call, Refusal last) {
         CallInfo info = call.info();
+        // The last attempt may not have run, and an earlier one may: then "not run" would be a lie.
+        boolean doubtful = call.mayHaveRun() && last.outcome() == Outcome.NOT_RUN;
+        Refusal refusal =
+                doubtful ? new Refusal(last.reason(), Outcome.UNKNOWN, last.retryAfter(), last.detail()) : last;
         Permits.report(step, call, refusal.outcome());
         step.note(
                 info.requestId(),
--- a/core/src/test/java/org/heatherhaven/core/fleet/Faults.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/Faults.java
@@ -12,9 +12,8 @@
         Duration latestWrite,
         double clockDrift) {
 
-    public static final Faults NONE =
-            new Faults(0, 0, Duration.ofMillis(5), 0, 0, Duration.ofMillis(5), 0);
+    public static final Faults NONE = new Faults(0, 0, Duration.ofMillis(5), 0, 0, Duration.ofMillis(5), 0);
 
-    public static final Faults HARSH = new Faults(
-            0.15, 0.1, Duration.ofMillis(600), 0.2, 0.1, Duration.ofSeconds(8), 0.02);
+    public static final Faults HARSH =
+            new Faults(0.15, 0.1, Duration.ofMillis(600), 0.2, 0.1, Duration.ofSeconds(8), 0.02);
 }
--- a/core/src/test/java/org/heatherhaven/core/fleet/History.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/History.java
@@ -1,13 +1,13 @@
 package org.heatherhaven.core.fleet;
 
-import org.heatherhaven.core.model.Refusal;
-
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
+import org.heatherhaven.core.model.Refusal;
+
 /** What happened in a run, in the order of true time. */
 public final class History {
 
--- a/core/src/test/java/org/heatherhaven/core/fleet/Policies.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/Policies.java
@@ -1,15 +1,15 @@
 package org.heatherhaven.core.fleet;
 
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
 import org.heatherhaven.core.model.Importance;
 import org.heatherhaven.core.model.KeyGrant;
 import org.heatherhaven.core.model.PolicyPatch;
 import org.heatherhaven.core.model.Route;
 import org.heatherhaven.core.model.Team;
 
-import java.time.Duration;
-import java.util.List;
-import java.util.Optional;
-
 /** Policies and keys for tests. */
 public final class Policies {
 
--- a/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
@@ -1,5 +1,22 @@
 package org.heatherhaven.core.fleet;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.event.ControlEvent;
 import org.heatherhaven.core.event.Event;
@@ -21,21 +38,6 @@
 import org.heatherhaven.core.model.PolicyPatch;
 import org.heatherhaven.core.model.Zone;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.PriorityQueue;
-import java.util.SplittableRandom;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
-import java.util.function.Function;
-import java.util.function.Supplier;
-
 /**
  * Couples the reducers of a few nodes by a queue that loses, doubles, delays and reorders, with a clock a node.
  *
@@ -98,6 +100,12 @@
         return platform.writes;
     }
 
+    public Set<String> committedPatches() {
+        return platform.versions.values().stream()
+                .map(version -> version.patch().id())
+                .collect(Collectors.toSet());
+    }
+
     public long newestVersion() {
         return platform.versions.isEmpty() ? 0 : platform.versions.lastKey();
     }
@@ -140,6 +148,12 @@
         after(time, () -> thaw(node));
     }
 
+    /** Cuts a node off from all others and from the platform; its callers and its target still reach it. */
+    public void isolate(TestNode node, Duration time) {
+        node.isolatedUntil = now.plus(time);
+        cutLinksTo(node);
+    }
+
     private void thaw(TestNode node) {
         while (node.alive && !node.frozen(now) && !node.inbox.isEmpty()) {
             step(node, node.inbox.poll());
@@ -155,7 +169,8 @@
     }
 
     /** Sends a call from outside to a node; the submission names it in the history. */
-    public void call(TestNode node, String submission, String path, Optional<String> key, Optional<String> idempotency) {
+    public void call(
+            TestNode node, String submission, String path, Optional<String> key, Optional<String> idempotency) {
         long number = node.nextCall++;
         CallRequest request = new CallRequest(
                 "POST",
@@ -238,8 +253,11 @@
         } else if (effect instanceof Effect.RunOffer offer) {
             work(node, offer);
         } else if (effect instanceof Effect.RefuseOffer refuse) {
-            answer(node, refuse.key(), attempt -> new TrafficEvent.AttemptRefused(
-                    attempt.call(), attempt.attempt(), refuse.refusal(), refuse.signal(), true));
+            answer(
+                    node,
+                    refuse.key(),
+                    attempt -> new TrafficEvent.AttemptRefused(
+                            attempt.call(), attempt.attempt(), refuse.refusal(), refuse.signal(), true));
         } else if (effect instanceof Effect.FinishOffer finish) {
             answer(node, finish.key(), attempt -> ended(attempt, finish));
         } else if (effect instanceof Effect.RefuseCall refuse) {
@@ -252,7 +270,9 @@
             long floor = node.nextLink;
             after(Duration.ofMillis(1), () -> deliver(node, new ControlEvent.LinksClosed(floor)));
         } else if (effect instanceof Effect.AnswerPatch answer) {
-            patchAnswers.computeIfAbsent(answer.patchId(), any -> new ArrayList<>()).add(answer);
+            patchAnswers
+                    .computeIfAbsent(answer.patchId(), any -> new ArrayList<>())
+                    .add(answer);
         } else if (effect instanceof Effect.Leave) {
             node.left = true;
             node.alive = false;
@@ -264,8 +284,7 @@
 
     private TrafficEvent ended(TestNode.Attempt attempt, Effect.FinishOffer finish) {
         if (finish.whole()) {
-            history.answered.add(
-                    history.submissionOfRequest.get(attempt.entry().id + "#" + attempt.call()));
+            history.answered.add(history.submissionOfRequest.get(attempt.entry().id + "#" + attempt.call()));
         }
         return new TrafficEvent.AttemptEnded(attempt.call(), attempt.attempt(), finish.whole(), finish.signal());
     }
@@ -275,10 +294,17 @@
             after(Duration.ZERO, () -> deliver(from, new ControlEvent.PeerSaid(send.message())));
             return;
         }
-        int copies = random.nextDouble() < faults.lossOfMessages() ? 0 : random.nextDouble() < faults.doubling() ? 2 : 1;
+        if (from.isolated(now)) {
+            return;
+        }
+        int copies =
+                random.nextDouble() < faults.lossOfMessages() ? 0 : random.nextDouble() < faults.doubling() ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-            after(someOf(faults.slowestMessage()), () -> find(send.to())
-                    .ifPresent(node -> deliver(node, new ControlEvent.PeerSaid(send.message()))));
+            after(
+                    someOf(faults.slowestMessage()),
+                    () -> find(send.to())
+                            .filter(node -> !node.isolated(now))
+                            .ifPresent(node -> deliver(node, new ControlEvent.PeerSaid(send.message()))));
         }
     }
 
@@ -296,10 +322,14 @@
         if (forward.attempt() == 1 && head.depth() == 0 && !head.team().isEmpty()) {
             history.admissions.add(new History.Admission(now, head.team(), entry.id.value()));
         }
-        Optional<TestNode> target = find(forward.to());
+        Optional<TestNode> target =
+                find(forward.to()).filter(guard -> guard == entry || !(guard.isolated(now) || entry.isolated(now)));
         if (target.isEmpty()) {
-            after(Duration.ofMillis(1), () -> deliver(
-                    entry, new TrafficEvent.AttemptLost(forward.call(), forward.attempt(), Outcome.NOT_RUN, true)));
+            after(
+                    Duration.ofMillis(1),
+                    () -> deliver(
+                            entry,
+                            new TrafficEvent.AttemptLost(forward.call(), forward.attempt(), Outcome.NOT_RUN, true)));
             return;
         }
         TestNode guard = target.get();
@@ -336,11 +366,13 @@
         Map<OfferKey, TestNode.Attempt> waiting = new HashMap<>(node.offers);
         node.offers.clear();
         nodes.forEach(other -> other.links.remove(node.id));
-        waiting.values().forEach(attempt -> after(
-                Duration.ofMillis(1),
-                () -> deliver(
-                        attempt.entry(),
-                        new TrafficEvent.AttemptLost(attempt.call(), attempt.attempt(), Outcome.UNKNOWN, true))));
+        waiting.values()
+                .forEach(attempt -> after(
+                        Duration.ofMillis(1),
+                        () -> deliver(
+                                attempt.entry(),
+                                new TrafficEvent.AttemptLost(
+                                        attempt.call(), attempt.attempt(), Outcome.UNKNOWN, true))));
     }
 
     private void listMembers(TestNode node) {
@@ -360,8 +392,13 @@
                     write.version(), PlatformEvent.CommitResult.UNSETTLED, Optional.empty());
             ask(node, () -> platform.commit(write), lost, true);
         } else if (effect instanceof Effect.ReadPolicy read) {
-            after(Duration.ofMillis(500), () -> ask(
-                    node, () -> platform.policyAfter(read.after(), 0), new PlatformEvent.PolicyReadFailed(), false));
+            after(
+                    Duration.ofMillis(500),
+                    () -> ask(
+                            node,
+                            () -> platform.policyAfter(read.after(), 0),
+                            new PlatformEvent.PolicyReadFailed(),
+                            false));
         } else if (effect instanceof Effect.ListMembers) {
             listMembers(node);
         } else if (effect instanceof Effect.RemoveAnnouncement remove) {
@@ -374,7 +411,7 @@
         Duration there = someOf(Duration.ofMillis(10));
         boolean late = write && random.nextDouble() < faults.lateWrites();
         boolean lose = random.nextDouble() < faults.lossOfAnswers();
-        if (platformDown) {
+        if (platformDown || node.isolated(now)) {
             after(Duration.ofMillis(300), () -> deliver(node, lost));
             return;
         }
--- a/core/src/test/java/org/heatherhaven/core/fleet/TestNode.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/TestNode.java
@@ -1,10 +1,5 @@
 package org.heatherhaven.core.fleet;
 
-import org.heatherhaven.core.event.Event;
-import org.heatherhaven.core.event.OfferKey;
-import org.heatherhaven.core.logic.node.NodeState;
-import org.heatherhaven.core.model.NodeId;
-
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -12,6 +7,11 @@
 import java.util.Map;
 import java.util.Queue;
 
+import org.heatherhaven.core.event.Event;
+import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.logic.node.NodeState;
+import org.heatherhaven.core.model.NodeId;
+
 /** One node of a {@link SmallFleet}: its state, its clock, and what of it lives outside the reducer. */
 public final class TestNode {
 
@@ -23,6 +23,7 @@
     final Map<OfferKey, Attempt> offers = new HashMap<>();
     NodeState state;
     Instant frozenUntil = Instant.MIN;
+    Instant isolatedUntil = Instant.MIN;
     boolean alive = true;
     boolean left;
     long nextLink = 1;
@@ -59,6 +60,10 @@
         return clock(trueTime);
     }
 
+    boolean isolated(Instant trueTime) {
+        return trueTime.isBefore(isolatedUntil);
+    }
+
     boolean frozen(Instant trueTime) {
         return trueTime.isBefore(frozenUntil);
     }
--- a/core/src/test/java/org/heatherhaven/core/fleet/TestPlatform.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/TestPlatform.java
@@ -1,5 +1,11 @@
 package org.heatherhaven.core.fleet;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.event.PlatformEvent;
 import org.heatherhaven.core.event.PlatformEvent.CommitResult;
@@ -8,12 +14,6 @@
 import org.heatherhaven.core.model.PolicyVersion;
 import org.heatherhaven.core.model.RightId;
 
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.TreeMap;
-
 /** The platform's objects, changed one call at a time; {@link SmallFleet} decides when calls arrive and answers leave. */
 final class TestPlatform {
 
--- a/core/src/test/java/org/heatherhaven/core/proof/ExclusiveRightsTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/ExclusiveRightsTest.java
@@ -1,5 +1,12 @@
 package org.heatherhaven.core.proof;
 
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
@@ -10,13 +17,6 @@
 import org.heatherhaven.core.logic.node.NodeRules;
 import org.heatherhaven.core.model.RightId;
 
-import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-
 /** At no moment may two processes use the same exclusive right. */
 class ExclusiveRightsTest {
 
--- a/core/src/test/java/org/heatherhaven/core/proof/Fleets.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/Fleets.java
@@ -1,22 +1,26 @@
 package org.heatherhaven.core.proof;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
 import org.heatherhaven.core.fleet.Faults;
 import org.heatherhaven.core.fleet.Policies;
 import org.heatherhaven.core.fleet.SmallFleet;
 import org.heatherhaven.core.fleet.TestNode;
 import org.heatherhaven.core.logic.node.NodeRules;
+import org.heatherhaven.core.logic.once.OnceLogic.LedgerLimits;
 import org.heatherhaven.core.model.PolicyPatch;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.List;
-import java.util.Optional;
-
 /** Fleets and disturbances that several proofs share. */
 final class Fleets {
 
     private static final List<String> SERVICES = List.of("bookings", "pricing");
 
+    /** Short enough for a run to see a lost ledger work again; the tests' callers send a key again within it. */
+    private static final LedgerLimits LEDGER = new LedgerLimits(Duration.ofSeconds(10), 1_000);
+
     private Fleets() {}
 
     static SmallFleet started(long seed, Faults faults, int nodes, PolicyPatch policy) {
@@ -35,7 +39,7 @@
                 "10.0.0." + index + ":7000",
                 "zone-" + index % 3,
                 SERVICES.get(index % SERVICES.size()),
-                NodeRules.defaults(seed + index));
+                NodeRules.defaults(seed + index).withLedger(LEDGER));
     }
 
     static Instant clock(TestNode node, SmallFleet fleet) {
@@ -62,7 +66,9 @@
 
     static Optional<TestNode> anyAlive(SmallFleet fleet) {
         List<TestNode> alive = fleet.nodes.stream().filter(TestNode::alive).toList();
-        return alive.isEmpty() ? Optional.empty() : Optional.of(alive.get(fleet.random().nextInt(alive.size())));
+        return alive.isEmpty()
+                ? Optional.empty()
+                : Optional.of(alive.get(fleet.random().nextInt(alive.size())));
     }
 
     /** Freezes, kills and restarts nodes, and takes the platform down, at random for a while. */
--- /dev/null
+++ b/core/src/test/java/org/heatherhaven/core/proof/MembershipTest.java
@@ -0,0 +1,96 @@
+package org.heatherhaven.core.proof;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.heatherhaven.core.event.TrafficEvent.TargetResult;
+import org.heatherhaven.core.fleet.Faults;
+import org.heatherhaven.core.fleet.History;
+import org.heatherhaven.core.fleet.Policies;
+import org.heatherhaven.core.fleet.SmallFleet;
+import org.heatherhaven.core.fleet.TestNode;
+import org.heatherhaven.core.model.MemberStatus;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Outcome;
+
+/** Members come, go, fall silent and return; leaving targets get no new work, and nothing in flight is cut. */
+class MembershipTest {
+
+    private static final Duration NO_NEW_WORK_LIMIT = Duration.ofSeconds(3);
+
+    @Property(tries = 20, seed = "20261204")
+    void aKilledNodeIsDeadForAllWithinTenSecondsAndReturnsAsANewProcess(
+            @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 8, Policies.first(200, 50, 1));
+        fleet.setFaults(new Faults(0.1, 0.1, Duration.ofMillis(200), 0, 0, Duration.ofMillis(10), 0));
+        TestNode victim = fleet.nodes.get((int) (seed % 8));
+        fleet.kill(victim);
+        fleet.run(Duration.ofSeconds(10));
+        expect(fleet, victim.id(), MemberStatus.DEAD);
+        String address = victim.id().value();
+        int index = Integer.parseInt(address.substring(address.lastIndexOf('.') + 1, address.indexOf(':')));
+        Fleets.start(fleet, index, seed);
+        fleet.run(Duration.ofSeconds(8));
+        expect(fleet, victim.id(), MemberStatus.ALIVE);
+    }
+
+    @Property(tries = 20, seed = "20261204")
+    void aFrozenNodeThatThawsIsAMemberAgain(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 6, Policies.first(200, 50, 1));
+        TestNode frozen = fleet.nodes.get((int) (seed % 6));
+        fleet.freeze(frozen, Duration.ofSeconds(12));
+        fleet.run(Duration.ofSeconds(11));
+        expect(fleet, frozen.id(), MemberStatus.DEAD);
+        fleet.run(Duration.ofSeconds(25));
+        expect(fleet, frozen.id(), MemberStatus.ALIVE);
+    }
+
+    private static void expect(SmallFleet fleet, NodeId id, MemberStatus status) {
+        for (TestNode node : fleet.nodes) {
+            if (!node.alive()
+                    || node.id().equals(id)
+                    || node.clockAt(fleet.now()).isBefore(Instant.EPOCH)) {
+                continue;
+            }
+            MemberStatus seen = node.state().fleet().find(id).orElseThrow().status();
+            if (seen != status) {
+                throw new AssertionError(node.id() + " takes " + id + " for " + seen);
+            }
+        }
+    }
+
+    @Property(tries = 30, seed = "20261204")
+    void aLeavingTargetGetsNoNewWorkAfterThreeSecondsAndFinishesWhatItHas(
+            @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 6, Policies.first(1_000, 500, 1));
+        fleet.setFaults(new Faults(0.2, 0.1, Duration.ofMillis(400), 0, 0, Duration.ofMillis(10), 0));
+        fleet.setWork(Duration.ofMillis(800), TargetResult.ANSWERED);
+        Fleets.keepCalling(fleet, Duration.ofSeconds(10), 250);
+        fleet.run(Duration.ofSeconds(3));
+        TestNode leaving = fleet.nodes.get((int) (seed % 6));
+        fleet.drain(leaving);
+        Instant limit = fleet.now().plus(NO_NEW_WORK_LIMIT);
+        fleet.run(Duration.ofSeconds(14));
+        List<History.Execution> late = fleet.history.executions.stream()
+                .filter(run ->
+                        run.node().equals(leaving.id().value()) && run.at().isAfter(limit))
+                .toList();
+        if (!late.isEmpty()) {
+            throw new AssertionError("new work after three seconds: " + late.get(0));
+        }
+        Optional<History.Refused> cut = fleet.history.refusals.stream()
+                .filter(refused -> refused.refusal().outcome() == Outcome.UNKNOWN)
+                .findFirst();
+        if (cut.isPresent()) {
+            throw new AssertionError("a call in flight was cut: " + cut.get());
+        }
+        if (leaving.alive()) {
+            throw new AssertionError("it has not left");
+        }
+    }
+}
--- a/core/src/test/java/org/heatherhaven/core/proof/TeamRateTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/TeamRateTest.java
@@ -1,5 +1,10 @@
 package org.heatherhaven.core.proof;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
@@ -10,11 +15,6 @@
 import org.heatherhaven.core.fleet.TestNode;
 import org.heatherhaven.core.model.Reason;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.List;
-import java.util.Optional;
-
 /** No team gets more than its rate and burst, counted over all nodes together. */
 class TeamRateTest {
 
