--- a/cli/src/main/java/org/heatherhaven/cli/Main.java
+++ b/cli/src/main/java/org/heatherhaven/cli/Main.java
@@ -8,6 +8,8 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import org.heatherhaven.cli.measure.DemoCommand;
+import org.heatherhaven.cli.measure.MeasureCommand;
 import org.heatherhaven.cli.operator.ExplainCommand;
 import org.heatherhaven.cli.operator.KeyIssueCommand;
 import org.heatherhaven.cli.operator.KeyWithdrawCommand;
@@ -52,6 +54,8 @@
         commands.put("explain", new ExplainCommand());
         commands.put("standin platform", new StandinPlatformCommand());
         commands.put("standin target", new StandinTargetCommand());
+        commands.put("measure", new MeasureCommand());
+        commands.put("demo", new DemoCommand());
         return commands;
     }
 
--- /dev/null
+++ b/cli/src/main/java/org/heatherhaven/cli/measure/MeasureCommand.java
@@ -0,0 +1,97 @@
+package org.heatherhaven.cli.measure;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.converters.PathConverter;
+import org.heatherhaven.cli.Command;
+import org.heatherhaven.cli.ExitCode;
+import org.heatherhaven.standin.fleet.Deployment;
+import org.heatherhaven.standin.measure.Experiment;
+import org.heatherhaven.standin.measure.Report;
+import org.heatherhaven.standin.measure.RunResult;
+import org.heatherhaven.standin.measure.Scenario;
+import org.heatherhaven.standin.measure.Strategy;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** Measures ways of deciding side by side. */
+@Parameters(commandDescription = "Measure a scenario on real nodes and stand-ins on loopback; last line is JSON")
+public final class MeasureCommand implements Command {
+
+    @Parameter(description = "SCENARIO", required = true)
+    private String scenario;
+
+    @Parameter(names = "--deployment", description = "qaleen or tibas")
+    private String deployment = "qaleen";
+
+    @Parameter(names = "--seconds", description = "Length of the load of each run")
+    private int seconds = 20;
+
+    @Parameter(names = "--seed", description = "Start of all random choices; each round adds one")
+    private long seed = 1;
+
+    @Parameter(names = "--rounds", description = "Runs of each way of deciding, interleaved")
+    private int rounds = 1;
+
+    @Parameter(names = "--strategies", description = "Ways of deciding, separated by commas")
+    private List<String> strategies = List.of("heatherhaven", "pass-through");
+
+    @Parameter(names = "--json", converter = PathConverter.class, description = "File for the figures")
+    private Path json;
+
+    @Parameter(names = "--plot", converter = PathConverter.class, description = "File for a plot, SVG")
+    private Path plot;
+
+    @Override
+    public ExitCode run() {
+        Scenario wanted = constant(Scenario.class, scenario);
+        Deployment fleet = constant(Deployment.class, deployment);
+        List<RunResult> results = new ArrayList<>();
+        for (int round = 0; round < rounds; round++) {
+            for (String strategy : strategies) {
+                Experiment experiment =
+                        new Experiment(wanted, fleet, seconds, seed + round, line -> System.err.println("  " + line));
+                results.add(experiment.run(constant(Strategy.class, strategy)));
+            }
+        }
+        Report report = new Report(wanted, fleet, results);
+        report.table().forEach(System.out::println);
+        if (plot != null) {
+            report.plot(plot, seconds);
+        }
+        write(report.json());
+        System.out.println(report.json());
+        return ExitCode.OK;
+    }
+
+    private void write(String text) {
+        if (json == null) {
+            return;
+        }
+        try {
+            Files.writeString(json, text + "\n");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static <E extends Enum<E>> E constant(Class<E> type, String name) {
+        try {
+            return Enum.valueOf(type, name.toUpperCase(Locale.ROOT).replace('-', '_'));
+        } catch (IllegalArgumentException e) {
+            String known = Arrays.stream(type.getEnumConstants())
+                    .map(constant -> constant.name().toLowerCase(Locale.ROOT).replace('_', '-'))
+                    .collect(Collectors.joining(", "));
+            throw new ParameterException("'" + name + "' is not one of " + known);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/heatherhaven/cli/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that measure, and the demo. */
+package org.heatherhaven.cli.measure;
--- a/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
+++ b/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -10,6 +11,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.heatherhaven.core.effect.Effect.AnswerPatch;
 import org.heatherhaven.core.event.ControlEvent;
 import org.heatherhaven.core.event.Event;
 import org.heatherhaven.core.event.TrafficEvent.Door;
@@ -17,6 +19,7 @@
 import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.MemberStatus;
 import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.PolicyPatch;
 import org.heatherhaven.node.control.ControlLoop;
 import org.heatherhaven.node.control.Mailbox;
 import org.heatherhaven.node.control.SteadyClock;
@@ -62,6 +65,7 @@
     private final CallerServer targetCalls;
     private final OperatorServer operators;
     private final ControlLoop loop;
+    private final PatchDesk patches;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final CountDownLatch left = new CountDownLatch(1);
 
@@ -101,7 +105,7 @@
         this.callers = new CallerServer(Door.CALLER, settings.entry(), entered, tls.callers());
         this.targetCalls = new CallerServer(Door.TARGET, settings.entry(), entered, Optional.empty());
         DecisionLog decisions = new DecisionLog(DECISIONS_KEPT);
-        PatchDesk patches = new PatchDesk(mailbox::put);
+        this.patches = new PatchDesk(mailbox::put);
         Interpreter interpreter = new Interpreter(
                 self.owner(),
                 mailbox,
@@ -207,6 +211,16 @@
         return loop.state();
     }
 
+    /**
+     * Sends a patch, as an operator would.
+     *
+     * @param patch the patch
+     * @return completes with the answer
+     */
+    public CompletableFuture<AnswerPatch> patch(PolicyPatch patch) {
+        return patches.submit(patch);
+    }
+
     /**
      * What the node counts.
      *
--- a/node/src/main/java/org/heatherhaven/node/operator/PatchDesk.java
+++ b/node/src/main/java/org/heatherhaven/node/operator/PatchDesk.java
@@ -26,7 +26,13 @@
         this.events = events;
     }
 
-    CompletableFuture<AnswerPatch> submit(PolicyPatch patch) {
+    /**
+     * Sends a patch.
+     *
+     * @param patch the patch
+     * @return completes with its answer
+     */
+    public CompletableFuture<AnswerPatch> submit(PolicyPatch patch) {
         CompletableFuture<AnswerPatch> answer = waiting.computeIfAbsent(patch.id(), id -> new CompletableFuture<>());
         events.accept(new ControlEvent.PatchSubmitted(patch));
         return answer;
--- /dev/null
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/Deployment.java
@@ -0,0 +1,147 @@
+package org.heatherhaven.standin.fleet;
+
+import org.heatherhaven.core.model.Importance;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+/** The users' deployments, in the shape and at the size of today. */
+public enum Deployment {
+    QALEEN(
+            "pk-south",
+            3,
+            Duration.ofMillis(3),
+            "pricing",
+            List.of(
+                    new ServiceShape("inventory", 3, 50, 400, Duration.ofMillis(10), Map.of()),
+                    new ServiceShape(
+                            "bookings",
+                            3,
+                            50,
+                            400,
+                            Duration.ofMillis(10),
+                            Map.of("/bookings", List.of("/inventory/check", "/pricing/quote"))),
+                    new ServiceShape(
+                            "dispatch", 3, 50, 400, Duration.ofMillis(10), Map.of("/dispatch", List.of("/pricing/quote"))),
+                    new ServiceShape("pricing", 3, 15, 200, Duration.ofMillis(40), Map.of())),
+            List.of(
+                    new Flow("reserve", "/bookings/reserve", "bookings", Importance.CRITICAL, true, 0.25, true),
+                    new Flow("quote", "/pricing/quote", "pricing", Importance.HIGH, false, 0.35, true),
+                    new Flow("stock", "/inventory/check", "inventory", Importance.NORMAL, false, 0.10, false),
+                    new Flow("plan", "/dispatch/plan", "dispatch", Importance.LOW, false, 0.30, true))),
+    TIBAS(
+            "valle-central",
+            4,
+            Duration.ofMillis(8),
+            "hornos",
+            List.of(
+                    new ServiceShape(
+                            "catalogo",
+                            4,
+                            200,
+                            1_500,
+                            Duration.ofMillis(20),
+                            Map.of("/catalogo", List.of("/hornos/availability"))),
+                    new ServiceShape(
+                            "pedidos", 4, 200, 1_500, Duration.ofMillis(20), Map.of("/pedidos", List.of("/hornos/reserve"))),
+                    new ServiceShape("guias", 4, 200, 1_500, Duration.ofMillis(20), Map.of()),
+                    new ServiceShape("hornos", 4, 25, 250, Duration.ofMillis(90), Map.of())),
+            List.of(
+                    new Flow("deposit", "/pedidos/deposit", "pedidos", Importance.CRITICAL, true, 0.20, true),
+                    new Flow("slot-check", "/hornos/slots", "hornos", Importance.HIGH, false, 0.35, true),
+                    new Flow("guide", "/guias/starter", "guias", Importance.NORMAL, false, 0.10, false),
+                    new Flow("browse", "/catalogo/list", "catalogo", Importance.LOW, false, 0.35, true)));
+
+    /** Parts of the demand of each of eight teams, a few of them large. */
+    public static final List<Double> TEAM_PARTS = List.of(0.30, 0.20, 0.15, 0.10, 0.10, 0.05, 0.05, 0.05);
+
+    private final String region;
+    private final int zones;
+    private final Duration callerDelay;
+    private final String bottleneck;
+    private final List<ServiceShape> services;
+    private final List<Flow> flows;
+
+    Deployment(
+            String region,
+            int zones,
+            Duration callerDelay,
+            String bottleneck,
+            List<ServiceShape> services,
+            List<Flow> flows) {
+        this.region = region;
+        this.zones = zones;
+        this.callerDelay = callerDelay;
+        this.bottleneck = bottleneck;
+        this.services = services;
+        this.flows = flows;
+    }
+
+    /**
+     * Region of all zones.
+     *
+     * @return its name
+     */
+    public String region() {
+        return region;
+    }
+
+    /**
+     * Number of availability zones.
+     *
+     * @return zones
+     */
+    public int zones() {
+        return zones;
+    }
+
+    /**
+     * Time from callers to nodes, one way.
+     *
+     * @return the delay
+     */
+    public Duration callerDelay() {
+        return callerDelay;
+    }
+
+    /**
+     * The services.
+     *
+     * @return all services
+     */
+    public List<ServiceShape> services() {
+        return services;
+    }
+
+    /**
+     * The kinds of root requests.
+     *
+     * @return all flows
+     */
+    public List<Flow> flows() {
+        return flows;
+    }
+
+    /**
+     * The service that is short under overload.
+     *
+     * @return the service
+     */
+    public ServiceShape bottleneck() {
+        return services.stream()
+                .filter(service -> service.name().equals(bottleneck))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /**
+     * Root requests a second at which the bottleneck is just full.
+     *
+     * @return root requests a second
+     */
+    public double capacity() {
+        double part = flows.stream().filter(Flow::usesBottleneck).mapToDouble(Flow::part).sum();
+        return bottleneck().capacity() / part;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherhaven/standin/load/Callers.java
@@ -0,0 +1,206 @@
+package org.heatherhaven.standin.load;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.BoundRequestBuilder;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.Dsl;
+import org.asynchttpclient.Response;
+import org.heatherhaven.standin.fleet.Deployment;
+import org.heatherhaven.standin.fleet.Flow;
+import org.heatherhaven.standin.fleet.FleetPolicy;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.IntFunction;
+import java.util.function.IntToDoubleFunction;
+
+/** Sends the requests of a deployment's teams with exponential gaps, each at its intended time. */
+public final class Callers implements AutoCloseable {
+
+    private static final int THREADS = 2;
+    private static final int MAX_CONNECTIONS = 8_000;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final int OK = 200;
+
+    private final Deployment deployment;
+    private final CallerPlan plan;
+    private final RequestLog log;
+    private final IntFunction<String> entryOfTeam;
+    private final SplittableRandom random;
+    private final AtomicLong nextId = new AtomicLong();
+    private final EventLoopGroup group = new NioEventLoopGroup(THREADS, new DefaultThreadFactory("callers", true));
+    private final AsyncHttpClient client;
+    private final long startNanos = System.nanoTime();
+
+    /**
+     * Creates callers that have not begun.
+     *
+     * @param deployment whose requests are sent
+     * @param plan how callers behave
+     * @param log counts what becomes of requests
+     * @param entryOfTeam gives the URL of a node for the next call of a team
+     * @param seed start of the random choices
+     */
+    public Callers(
+            Deployment deployment, CallerPlan plan, RequestLog log, IntFunction<String> entryOfTeam, long seed) {
+        this.deployment = deployment;
+        this.plan = plan;
+        this.log = log;
+        this.entryOfTeam = entryOfTeam;
+        this.random = new SplittableRandom(seed);
+        this.client = Dsl.asyncHttpClient(new DefaultAsyncHttpClientConfig.Builder()
+                .setEventLoopGroup(group)
+                .setMaxConnections(MAX_CONNECTIONS)
+                .setMaxRequestRetry(0)
+                .setKeepAlive(true)
+                .build());
+    }
+
+    private record Request(
+            int team, Flow flow, String key, String id, long intendedNanos, int attempt) {
+
+        Request again() {
+            return new Request(team, flow, key, id, intendedNanos, attempt + 1);
+        }
+    }
+
+    /**
+     * Milliseconds since these callers were created.
+     *
+     * @return milliseconds
+     */
+    public long elapsedMillis() {
+        return (System.nanoTime() - startNanos) / 1_000_000;
+    }
+
+    /**
+     * Sends requests for a while, and returns after the last was sent.
+     *
+     * @param time how long
+     * @param rateOfTeam root requests a second of each team
+     */
+    public void run(Duration time, IntToDoubleFunction rateOfTeam) {
+        long now = System.nanoTime();
+        long end = now + time.toNanos();
+        double[] rates = new double[Deployment.TEAM_PARTS.size()];
+        double total = 0;
+        for (int team = 0; team < rates.length; team++) {
+            rates[team] = rateOfTeam.applyAsDouble(team);
+            total += rates[team];
+        }
+        long next = now;
+        while (next < end) {
+            next += (long) (-Math.log(1 - random.nextDouble()) / total * NANOS_PER_SECOND);
+            sleepUntil(next);
+            int team = pick(rates, total);
+            begin(team, next);
+        }
+    }
+
+    private static void sleepUntil(long nanos) {
+        long left = nanos - System.nanoTime();
+        if (left > 0) {
+            LockSupport.parkNanos(left);
+        }
+    }
+
+    private int pick(double[] rates, double total) {
+        double point = random.nextDouble() * total;
+        for (int team = 0; team < rates.length; team++) {
+            point -= rates[team];
+            if (point < 0) {
+                return team;
+            }
+        }
+        return rates.length - 1;
+    }
+
+    private void begin(int team, long intendedNanos) {
+        double point = random.nextDouble();
+        Flow chosen = deployment.flows().get(deployment.flows().size() - 1);
+        for (Flow flow : deployment.flows()) {
+            point -= flow.part();
+            if (point < 0) {
+                chosen = flow;
+                break;
+            }
+        }
+        String id = "r" + nextId.incrementAndGet();
+        Request request = new Request(team, chosen, FleetPolicy.key(team), id, intendedNanos, 0);
+        log.offered(FleetPolicy.team(team), chosen.name(), millis(intendedNanos));
+        delayed(() -> send(request));
+    }
+
+    private void delayed(Runnable action) {
+        group.schedule(action, plan.delay().toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private long millis(long nanos) {
+        return (nanos - startNanos) / 1_000_000;
+    }
+
+    private void send(Request request) {
+        String url = entryOfTeam.apply(request.team()) + request.flow().path() + "?id=" + request.id();
+        BoundRequestBuilder builder = request.flow().unrepeatable()
+                ? client.preparePost(url).addHeader("Idempotency-Key", request.id())
+                : client.prepareGet(url);
+        builder.addHeader("Authorization", "Bearer " + request.key())
+                .addHeader("Request-Timeout-Ms", Long.toString(plan.attemptLimit().toMillis()))
+                .setRequestTimeout(plan.attemptLimit().plusMillis(100))
+                .setReadTimeout(plan.attemptLimit().plusMillis(100))
+                .execute()
+                .toCompletableFuture()
+                .whenComplete((response, failure) -> delayed(() -> done(request, response, failure)));
+    }
+
+    private void done(Request request, Response response, Throwable failure) {
+        long tookNanos = System.nanoTime() - request.intendedNanos();
+        boolean good = failure == null && response.getStatusCode() == OK && own(request, response);
+        if (good) {
+            if (tookNanos <= plan.patience().toNanos()) {
+                log.good(
+                        FleetPolicy.team(request.team()),
+                        request.flow().name(),
+                        millis(request.intendedNanos()),
+                        tookNanos / 1_000);
+            }
+            return;
+        }
+        log.refused(failure != null ? failure.getClass().getSimpleName() : reason(response));
+        boolean again = request.attempt() < plan.retries() && tookNanos < plan.patience().toNanos();
+        if (again) {
+            group.schedule(() -> send(request.again()), plan.retryPause().toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static boolean own(Request request, Response response) {
+        return response.getResponseBody().startsWith(request.flow().service() + ":" + request.id() + ":");
+    }
+
+    private static String reason(Response response) {
+        String body = response.getResponseBody();
+        int at = body.indexOf("\"reason\":\"");
+        if (at < 0) {
+            return "status " + response.getStatusCode();
+        }
+        int from = at + "\"reason\":\"".length();
+        return body.substring(from, body.indexOf('"', from));
+    }
+
+    @Override
+    public void close() {
+        try {
+            client.close();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherhaven/standin/load/RequestLog.java
@@ -0,0 +1,96 @@
+package org.heatherhaven.standin.load;
+
+import org.HdrHistogram.Histogram;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Counts what becomes of requests, in short bins of the time at which they were meant to start. */
+public final class RequestLog {
+
+    /** Length of a bin, milliseconds. */
+    public static final int BIN_MILLIS = 100;
+
+    private static final long HIGHEST_MICROS = 60_000_000;
+    private static final int DIGITS = 3;
+
+    private final int bins;
+    private final Map<String, long[][]> counts = new ConcurrentHashMap<>();
+    private final Map<String, AtomicLong> refusals = new ConcurrentHashMap<>();
+    private final Histogram latency = new Histogram(HIGHEST_MICROS, DIGITS);
+
+    /**
+     * Creates an empty log.
+     *
+     * @param seconds length of the run
+     */
+    public RequestLog(int seconds) {
+        this.bins = seconds * 1_000 / BIN_MILLIS + 1;
+    }
+
+    private long[][] of(String team, String flow) {
+        return counts.computeIfAbsent(team + "|" + flow, any -> new long[2][bins]);
+    }
+
+    synchronized void offered(String team, String flow, long atMillis) {
+        of(team, flow)[0][bin(atMillis)]++;
+    }
+
+    synchronized void good(String team, String flow, long atMillis, long latencyMicros) {
+        of(team, flow)[1][bin(atMillis)]++;
+        latency.recordValue(Math.min(HIGHEST_MICROS, Math.max(1, latencyMicros)));
+    }
+
+    void refused(String reason) {
+        refusals.computeIfAbsent(reason, any -> new AtomicLong()).incrementAndGet();
+    }
+
+    private int bin(long atMillis) {
+        return (int) Math.min(bins - 1, Math.max(0, atMillis / BIN_MILLIS));
+    }
+
+    /**
+     * Requests meant to start in a span of time.
+     *
+     * @param offered true for all of them, false for those that were answered whole in time
+     * @param team name of the team, or an empty text for all
+     * @param flow name of the flow, or an empty text for all
+     * @param fromMillis begin of the span
+     * @param toMillis end of the span
+     * @return requests
+     */
+    public synchronized long count(boolean offered, String team, String flow, long fromMillis, long toMillis) {
+        long sum = 0;
+        for (Map.Entry<String, long[][]> entry : counts.entrySet()) {
+            String[] names = entry.getKey().split("\\|");
+            boolean wanted = (team.isEmpty() || names[0].equals(team)) && (flow.isEmpty() || names[1].equals(flow));
+            for (int bin = bin(fromMillis); wanted && bin < bin(toMillis); bin++) {
+                sum += entry.getValue()[offered ? 0 : 1][bin];
+            }
+        }
+        return sum;
+    }
+
+    /**
+     * Refusals by reason.
+     *
+     * @return number of refusals, in order of the reasons
+     */
+    public Map<String, Long> refusals() {
+        Map<String, Long> sorted = new TreeMap<>();
+        refusals.forEach((reason, count) -> sorted.put(reason, count.get()));
+        return sorted;
+    }
+
+    /**
+     * Latency of requests that were answered, counted from their intended start.
+     *
+     * @param percentile 0 to 100
+     * @return milliseconds
+     */
+    public synchronized double latencyMillis(double percentile) {
+        return latency.getValueAtPercentile(percentile) / 1_000.0;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Experiment.java
@@ -0,0 +1,201 @@
+package org.heatherhaven.standin.measure;
+
+import org.heatherhaven.standin.fleet.Deployment;
+import org.heatherhaven.standin.fleet.EmbeddedFleet;
+import org.heatherhaven.standin.fleet.Flow;
+import org.heatherhaven.standin.fleet.FleetPolicy;
+import org.heatherhaven.standin.load.CallerPlan;
+import org.heatherhaven.standin.load.Callers;
+import org.heatherhaven.standin.load.RequestLog;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+
+/** One run: a fleet, its callers, a disturbance, and what came of it. */
+public final class Experiment {
+
+    /** A fleet has recovered when this part of its requests is answered again. */
+    private static final double RECOVERED = 0.95;
+
+    private static final long WINDOW_MILLIS = 500;
+    private static final Duration LAST_ANSWERS = Duration.ofMillis(1_700);
+    private static final int LARGEST_TEAM = 0;
+
+    private final Scenario scenario;
+    private final Deployment deployment;
+    private final int seconds;
+    private final long seed;
+    private final Consumer<String> progress;
+
+    /**
+     * Creates an experiment.
+     *
+     * @param scenario what is done to the fleet
+     * @param deployment which fleet
+     * @param seconds length of the load
+     * @param seed start of all random choices
+     * @param progress told in words what is going on
+     */
+    public Experiment(
+            Scenario scenario, Deployment deployment, int seconds, long seed, Consumer<String> progress) {
+        this.scenario = scenario;
+        this.deployment = deployment;
+        this.seconds = seconds;
+        this.seed = seed;
+        this.progress = progress;
+    }
+
+    /**
+     * Runs the experiment once.
+     *
+     * @param strategy way of deciding
+     * @return the figures
+     */
+    public RunResult run(Strategy strategy) {
+        RequestLog log = new RequestLog(seconds);
+        try (EmbeddedFleet fleet = new EmbeddedFleet(deployment, strategy.rules(seed), seed);
+                Callers callers = new Callers(
+                        deployment,
+                        CallerPlan.impatient(deployment.callerDelay()),
+                        log,
+                        team -> entryOf(fleet, team),
+                        seed)) {
+            fleet.patch(FleetPolicy.first(deployment, scenario.rateFactor()));
+            Marks marks = drive(fleet, callers, strategy);
+            return result(strategy, fleet, log, marks);
+        } catch (TimeoutException e) {
+            throw new IllegalStateException("the policy could not be put in force", e);
+        }
+    }
+
+    private String entryOf(EmbeddedFleet fleet, int team) {
+        boolean uneven = scenario == Scenario.STEADY && team == LARGEST_TEAM;
+        return fleet.callerUrl(uneven ? 0 : ThreadLocalRandom.current().nextInt(fleet.size()));
+    }
+
+    /** Milliseconds at which the phases began. */
+    private record Marks(long ordinary, long disturbed, long after, long end) {}
+
+    private Marks drive(EmbeddedFleet fleet, Callers callers, Strategy strategy) {
+        progress.accept(strategy.label() + ": ordinary load");
+        callers.run(length(Phase.WARM_UP), team -> scenario.ordinaryRate(deployment, team));
+        final long ordinary = callers.elapsedMillis();
+        callers.run(length(Phase.ORDINARY), team -> scenario.ordinaryRate(deployment, team));
+        progress.accept(strategy.label() + ": " + scenario.label());
+        scenario.begin(fleet, deployment);
+        final long disturbed = callers.elapsedMillis();
+        callers.run(length(Phase.DISTURBED), team -> scenario.disturbedRate(deployment, team));
+        scenario.end(fleet, deployment);
+        progress.accept(strategy.label() + ": after it");
+        final long after = callers.elapsedMillis();
+        callers.run(length(Phase.AFTER), team -> scenario.ordinaryRate(deployment, team));
+        final long end = callers.elapsedMillis();
+        pause(LAST_ANSWERS);
+        return new Marks(ordinary, disturbed, after, end);
+    }
+
+    private Duration length(Phase phase) {
+        return Duration.ofMillis(phase.millis(seconds));
+    }
+
+    private static void pause(Duration time) {
+        try {
+            Thread.sleep(time.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private RunResult result(Strategy strategy, EmbeddedFleet fleet, RequestLog log, Marks marks) {
+        Map<String, Double> flows = new LinkedHashMap<>();
+        for (Flow flow : deployment.flows()) {
+            flows.put(flow.name(), part(log, "", flow.name(), marks.disturbed(), marks.after()));
+        }
+        Map<String, Long> refusals = log.refusals();
+        long lackOfTokens = refusals.getOrDefault("rate", 0L) + refusals.getOrDefault("quota-unavailable", 0L);
+        long all = log.count(true, "", "", 0, marks.end());
+        long cause = scenario.recoversWhileDisturbed() ? marks.disturbed() : marks.after();
+        return new RunResult(
+                strategy.label(),
+                part(log, "", "", marks.ordinary(), marks.disturbed()),
+                part(log, "", "", marks.disturbed(), marks.after()),
+                bottleneckPart(log, marks),
+                recovery(log, cause, scenario.recoversWhileDisturbed() ? marks.after() : marks.end()),
+                worstTeam(log, marks),
+                (double) lackOfTokens / all,
+                flows,
+                fleet.keysRunTwice(),
+                fleet.keysSeen(),
+                log.latencyMillis(50),
+                log.latencyMillis(99),
+                refusals,
+                log);
+    }
+
+    private static double part(RequestLog log, String team, String flow, long from, long to) {
+        long offered = log.count(true, team, flow, from, to);
+        return offered == 0 ? 1 : (double) log.count(false, team, flow, from, to) / offered;
+    }
+
+    private double bottleneckPart(RequestLog log, Marks marks) {
+        double good = 0;
+        double offered = 0;
+        for (Flow flow : deployment.flows()) {
+            if (flow.usesBottleneck()) {
+                good += log.count(false, "", flow.name(), marks.disturbed(), marks.after());
+                offered += log.count(true, "", flow.name(), marks.disturbed(), marks.after());
+            }
+        }
+        double seconds = (marks.after() - marks.disturbed()) / 1_000.0;
+        double possible = deployment.bottleneck().capacity() * scenario.capacityPart() * seconds;
+        return good / Math.min(possible, offered);
+    }
+
+    private static long recovery(RequestLog log, long cause, long end) {
+        for (long at = cause; at + WINDOW_MILLIS <= end; at += RequestLog.BIN_MILLIS) {
+            if (part(log, "", "", at, at + WINDOW_MILLIS) >= RECOVERED) {
+                return at - cause;
+            }
+        }
+        return -1;
+    }
+
+    private double worstTeam(RequestLog log, Marks marks) {
+        double seconds = (marks.after() - marks.disturbed()) / 1_000.0;
+        List<Double> demands = new ArrayList<>();
+        for (int team = 0; team < Deployment.TEAM_PARTS.size(); team++) {
+            double offered = log.count(true, FleetPolicy.team(team), "", marks.disturbed(), marks.after());
+            demands.add(Math.min(offered, FleetPolicy.rate(deployment, team, scenario.rateFactor()) * seconds));
+        }
+        double fair = fairShare(demands, deployment.capacity() * scenario.capacityPart() * seconds);
+        double worst = Double.POSITIVE_INFINITY;
+        for (int team = 0; team < demands.size(); team++) {
+            double good = log.count(false, FleetPolicy.team(team), "", marks.disturbed(), marks.after());
+            worst = Math.min(worst, good / Math.min(fair, demands.get(team)));
+        }
+        return worst;
+    }
+
+    /** The max-min fair share of a capacity. */
+    static double fairShare(List<Double> demands, double capacity) {
+        List<Double> ascending = new ArrayList<>(demands);
+        ascending.sort(Comparator.naturalOrder());
+        double left = capacity;
+        for (int i = 0; i < ascending.size(); i++) {
+            double equal = left / (ascending.size() - i);
+            if (ascending.get(i) > equal) {
+                return equal;
+            }
+            left -= ascending.get(i);
+        }
+        return Double.POSITIVE_INFINITY;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Phase.java
@@ -0,0 +1,25 @@
+package org.heatherhaven.standin.measure;
+
+/** Parts of a run. */
+public enum Phase {
+    WARM_UP(0.15),
+    ORDINARY(0.20),
+    DISTURBED(0.30),
+    AFTER(0.35);
+
+    private final double part;
+
+    Phase(double part) {
+        this.part = part;
+    }
+
+    /**
+     * Length of this phase.
+     *
+     * @param seconds length of the run
+     * @return milliseconds
+     */
+    public long millis(int seconds) {
+        return (long) (part * seconds * 1_000);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Report.java
@@ -0,0 +1,182 @@
+package org.heatherhaven.standin.measure;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.heatherhaven.standin.fleet.Deployment;
+import org.heatherhaven.standin.load.RequestLog;
+import org.knowm.xchart.VectorGraphicsEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.DoubleStream;
+
+/** Turns the figures of several runs into a table, JSON and a plot. */
+public final class Report {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final double PERCENT = 100;
+    private static final int WIDTH = 1_000;
+    private static final int HEIGHT = 500;
+
+    private final Scenario scenario;
+    private final Deployment deployment;
+    private final List<RunResult> results;
+
+    /**
+     * Creates a report.
+     *
+     * @param scenario what was done
+     * @param deployment to which fleet
+     * @param results figures of all runs, of all ways of deciding
+     */
+    public Report(Scenario scenario, Deployment deployment, List<RunResult> results) {
+        this.scenario = scenario;
+        this.deployment = deployment;
+        this.results = results;
+    }
+
+    private List<String> strategies() {
+        return results.stream().map(RunResult::strategy).distinct().toList();
+    }
+
+    private double[] sorted(String strategy, ToDoubleFunction<RunResult> figure) {
+        return results.stream()
+                .filter(result -> result.strategy().equals(strategy))
+                .mapToDouble(figure)
+                .sorted()
+                .toArray();
+    }
+
+    private static double median(double[] sorted) {
+        return sorted[sorted.length / 2];
+    }
+
+    /**
+     * A table in Markdown, median of the runs and spread in brackets.
+     *
+     * @return lines of the table
+     */
+    public List<String> table() {
+        List<String> lines = new ArrayList<>();
+        lines.add("| " + scenario.label() + ", " + deployment.name().toLowerCase(Locale.ROOT)
+                + " | ordinary | disturbed | of the bottleneck | recovery | worst team | in-rate refusals"
+                + " | ran twice | p50 | p99 |");
+        lines.add("|---|---|---|---|---|---|---|---|---|---|");
+        for (String strategy : strategies()) {
+            lines.add("| " + strategy
+                    + " | " + percent(sorted(strategy, RunResult::ordinaryPart))
+                    + " | " + percent(sorted(strategy, RunResult::disturbedPart))
+                    + " | " + percent(sorted(strategy, RunResult::bottleneckPart))
+                    + " | " + recovery(sorted(strategy, RunResult::recoveryMillis))
+                    + " | " + percent(sorted(strategy, RunResult::worstTeamPart))
+                    + " | " + percent(sorted(strategy, RunResult::inRateRefusals))
+                    + " | " + (long) DoubleStream.of(sorted(strategy, RunResult::keysRunTwice)).sum()
+                    + " | " + millis(sorted(strategy, RunResult::medianMillis))
+                    + " | " + millis(sorted(strategy, RunResult::p99Millis)) + " |");
+        }
+        for (String strategy : strategies()) {
+            RunResult first = results.stream()
+                    .filter(result -> result.strategy().equals(strategy))
+                    .findFirst()
+                    .orElseThrow();
+            lines.add("  " + strategy + ", first run: flows " + first.flowParts() + ", refusals " + first.refusals());
+        }
+        return lines;
+    }
+
+    private static String percent(double[] sorted) {
+        return String.format(
+                Locale.ROOT,
+                "%.2f%% (%.2f-%.2f)",
+                PERCENT * median(sorted),
+                PERCENT * sorted[0],
+                PERCENT * sorted[sorted.length - 1]);
+    }
+
+    private static String recovery(double[] sorted) {
+        return sorted[0] < 0 ? "not seen in every run" : String.format(
+                Locale.ROOT, "%.0f ms (%.0f-%.0f)", median(sorted), sorted[0], sorted[sorted.length - 1]);
+    }
+
+    private static String millis(double[] sorted) {
+        return String.format(Locale.ROOT, "%.1f ms", median(sorted));
+    }
+
+    /**
+     * All figures on one line.
+     *
+     * @return JSON
+     */
+    public String json() {
+        ObjectNode root = JSON.createObjectNode();
+        root.put("scenario", scenario.label());
+        root.put("deployment", deployment.name().toLowerCase(Locale.ROOT));
+        for (RunResult result : results) {
+            ObjectNode run = root.withArray("runs").addObject();
+            run.put("strategy", result.strategy());
+            run.put("ordinary", result.ordinaryPart());
+            run.put("disturbed", result.disturbedPart());
+            run.put("bottleneck", result.bottleneckPart());
+            run.put("recovery_ms", result.recoveryMillis());
+            run.put("worst_team", result.worstTeamPart());
+            run.put("in_rate_refusals", result.inRateRefusals());
+            run.put("ran_twice", result.keysRunTwice());
+            run.put("keys_seen", result.keysSeen());
+            run.put("p50_ms", result.medianMillis());
+            run.put("p99_ms", result.p99Millis());
+            run.set("flows", JSON.valueToTree(result.flowParts()));
+            run.set("refusals", JSON.valueToTree(result.refusals()));
+        }
+        return root.toString();
+    }
+
+    /**
+     * Plots goodput over time, one line a way of deciding, from the first run of each.
+     *
+     * @param file where the SVG goes
+     * @param seconds length of the runs
+     */
+    public void plot(Path file, int seconds) {
+        XYChart chart = new XYChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title("Goodput, " + scenario.label() + ", " + deployment.name().toLowerCase(Locale.ROOT))
+                .xAxisTitle("seconds")
+                .yAxisTitle("whole requests a second")
+                .build();
+        for (String strategy : strategies()) {
+            RequestLog log = results.stream()
+                    .filter(result -> result.strategy().equals(strategy))
+                    .findFirst()
+                    .orElseThrow()
+                    .log();
+            addSeries(chart, strategy, log, seconds);
+        }
+        try {
+            VectorGraphicsEncoder.saveVectorGraphic(
+                    chart, file.toString(), VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void addSeries(XYChart chart, String name, RequestLog log, int seconds) {
+        int step = 2 * RequestLog.BIN_MILLIS;
+        int points = seconds * 1_000 / step;
+        double[] times = new double[points];
+        double[] goodput = new double[points];
+        for (int i = 0; i < points; i++) {
+            times[i] = i * step / 1_000.0;
+            goodput[i] = log.count(false, "", "", (long) i * step, (long) (i + 1) * step) * 1_000.0 / step;
+        }
+        chart.addSeries(name, times, goodput).setMarker(SeriesMarkers.NONE);
+    }
+}
