--- a/cli/src/main/java/org/heatherhaven/cli/measure/DemoCommand.java
+++ b/cli/src/main/java/org/heatherhaven/cli/measure/DemoCommand.java
@@ -1,5 +1,8 @@
 package org.heatherhaven.cli.measure;
 
+import java.util.ArrayList;
+import java.util.List;
+
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import org.heatherhaven.cli.Command;
@@ -11,9 +14,6 @@
 import org.heatherhaven.standin.measure.Scenario;
 import org.heatherhaven.standin.measure.Strategy;
 
-import java.util.ArrayList;
-import java.util.List;
-
 /** Shows in under a minute what the system does under overload. */
 @Parameters(commandDescription = "Show ordinary load, a surge, a slow service and a noisy team, against a baseline")
 public final class DemoCommand implements Command {
--- a/cli/src/main/java/org/heatherhaven/cli/measure/MeasureCommand.java
+++ b/cli/src/main/java/org/heatherhaven/cli/measure/MeasureCommand.java
@@ -1,5 +1,15 @@
 package org.heatherhaven.cli.measure;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
@@ -13,16 +23,6 @@
 import org.heatherhaven.standin.measure.Scenario;
 import org.heatherhaven.standin.measure.Strategy;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.List;
-import java.util.Locale;
-import java.util.stream.Collectors;
-
 /** Measures ways of deciding side by side. */
 @Parameters(commandDescription = "Measure a scenario on real nodes and stand-ins on loopback; last line is JSON")
 public final class MeasureCommand implements Command {
--- a/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
@@ -154,6 +154,11 @@
         cutLinksTo(node);
     }
 
+    /** Lets a node hear no control message of any other; calls still go both ways. */
+    public void deafen(TestNode node, Duration time) {
+        node.deafUntil = now.plus(time);
+    }
+
     private void thaw(TestNode node) {
         while (node.alive && !node.frozen(now) && !node.inbox.isEmpty()) {
             step(node, node.inbox.poll());
--- a/core/src/test/java/org/heatherhaven/core/fleet/TestNode.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/TestNode.java
@@ -24,6 +24,7 @@
     NodeState state;
     Instant frozenUntil = Instant.MIN;
     Instant isolatedUntil = Instant.MIN;
+    Instant deafUntil = Instant.MIN;
     boolean alive = true;
     boolean left;
     long nextLink = 1;
--- /dev/null
+++ b/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
@@ -0,0 +1,172 @@
+package org.heatherhaven.core.logic.admission;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.effect.Outbox;
+import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.event.TrafficEvent.TargetResult;
+import org.heatherhaven.core.model.CallHead;
+import org.heatherhaven.core.model.Importance;
+import org.heatherhaven.core.model.Reason;
+
+/** Under overload the most important work survives longest, and teams share what is left fairly. */
+class AdmissionTest {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final int SLOTS = 4;
+
+    private static CallHead head(int number, Importance importance, String team, int depth, long remainingMillis) {
+        return new CallHead(
+                "r" + number,
+                "root" + number,
+                "GET",
+                "/x",
+                List.of(),
+                "service",
+                "route",
+                team,
+                importance,
+                depth,
+                remainingMillis,
+                0,
+                false,
+                1);
+    }
+
+    /** A target with four slots that are all taken by long calls, and a service time of ten milliseconds. */
+    private static GuardState busy() {
+        GuardState state =
+                GuardState.start(AdmissionMode.FAIR_SHED, SLOTS, START).withLimit(SLOTS);
+        Outbox out = new Outbox();
+        state = state.withServiceTime(Duration.ofMillis(10));
+        for (int i = 0; i < SLOTS; i++) {
+            state = GuardLogic.offered(
+                    state,
+                    new OfferKey(1, 1_000 + i),
+                    head(1_000 + i, Importance.CRITICAL, "x", 0, 60_000),
+                    START,
+                    out);
+        }
+        return state;
+    }
+
+    @Property(tries = 300, seed = "20261204")
+    void noCallIsTurnedAwayForLackOfRoomWhileLessImportantOnesStay(
+            @ForAll @Size(min = 50, max = 200) List<@IntRange(min = 0, max = 3) Integer> ranks) {
+        GuardState state = busy();
+        for (int i = 0; i < ranks.size(); i++) {
+            Outbox out = new Outbox();
+            Importance importance = Importance.values()[ranks.get(i)];
+            state = GuardLogic.offered(
+                    state, new OfferKey(1, i + 1), head(i, importance, "t" + i % 3, 1, 60_000), START, out);
+            for (Effect effect : out.effects()) {
+                if (effect instanceof Effect.RefuseOffer refused
+                        && refused.refusal().reason() == Reason.QUEUE_FULL) {
+                    checkTurnedAway(state, Importance.values()[ranks.get((int) refused.key().stream() - 1)]);
+                }
+            }
+        }
+    }
+
+    private static void checkTurnedAway(GuardState state, Importance turnedAway) {
+        boolean lessImportantStays = state.queue().stream()
+                .anyMatch(waiting -> turnedAway.outranks(waiting.head().importance()));
+        if (lessImportantStays) {
+            throw new AssertionError(turnedAway + " was turned away, and less important work stays");
+        }
+    }
+
+    @Example
+    void workOfRequestsAlreadyBegunIsTakenBeforeNewRequestsOfTheSameImportance() {
+        GuardState state = busy();
+        Outbox out = new Outbox();
+        state = GuardLogic.offered(state, new OfferKey(1, 1), head(1, Importance.HIGH, "t", 0, 60_000), START, out);
+        state = GuardLogic.offered(state, new OfferKey(1, 2), head(2, Importance.HIGH, "t", 2, 60_000), START, out);
+        Outbox next = new Outbox();
+        GuardLogic.ended(state, new OfferKey(1, 1_000), TargetResult.ANSWERED, START.plusMillis(1), next);
+        Effect.RunOffer run = next.effects().stream()
+                .filter(Effect.RunOffer.class::isInstance)
+                .map(Effect.RunOffer.class::cast)
+                .findFirst()
+                .orElseThrow();
+        if (run.key().stream() != 2) {
+            throw new AssertionError("the new request was taken first");
+        }
+    }
+
+    @Example
+    void aCallThatWouldWaitPastItsDeadlineIsRefusedOnArrival() {
+        Outbox out = new Outbox();
+        GuardLogic.offered(busy(), new OfferKey(1, 1), head(1, Importance.HIGH, "t", 1, 5), START, out);
+        Effect.RefuseOffer refused = (Effect.RefuseOffer) out.effects().get(0);
+        if (refused.refusal().reason() != Reason.TOO_LATE) {
+            throw new AssertionError("refused for " + refused.refusal().reason());
+        }
+    }
+
+    @Property(tries = 500, seed = "20261204")
+    void theFairShareIsMaxMin(
+            @ForAll @Size(min = 1, max = 10) List<@IntRange(min = 1, max = 1_000) Integer> demands,
+            @ForAll @DoubleRange(min = 1, max = 5_000) double capacity) {
+        Map<String, Double> demand = new HashMap<>();
+        for (int i = 0; i < demands.size(); i++) {
+            demand.put("t" + i, (double) demands.get(i));
+        }
+        double fair = KeepTable.fairShare(demand, capacity);
+        double given =
+                demand.values().stream().mapToDouble(d -> Math.min(d, fair)).sum();
+        double wanted = demand.values().stream().mapToDouble(d -> d).sum();
+        if (Math.abs(given - Math.min(capacity, wanted)) > 1e-6 * capacity) {
+            throw new AssertionError("given " + given + " of " + capacity);
+        }
+    }
+
+    @Example
+    void aTeamThatFloodsATargetDoesNotTakeTheShareOfAnother() {
+        GuardState state =
+                GuardState.start(AdmissionMode.FAIR_SHED, SLOTS, START).withLimit(SLOTS);
+        Map<String, Integer> served = new HashMap<>();
+        List<OfferKey> running = new ArrayList<>();
+        Map<OfferKey, String> teams = new HashMap<>();
+        long stream = 0;
+        for (int millis = 0; millis < 5_000; millis += 10) {
+            Instant now = START.plusMillis(millis);
+            Outbox out = new Outbox();
+            state = GuardLogic.tick(state, now, out);
+            for (OfferKey key : List.copyOf(running)) {
+                state = GuardLogic.ended(state, key, TargetResult.ANSWERED, now, out);
+                running.remove(key);
+            }
+            for (int i = 0; i < 22; i++) {
+                String team = i < 2 ? "quiet" : "noisy";
+                stream++;
+                OfferKey key = new OfferKey(1, stream);
+                teams.put(key, team);
+                state = GuardLogic.offered(state, key, head((int) stream, Importance.NORMAL, team, 0, 1_000), now, out);
+            }
+            for (Effect effect : out.effects()) {
+                if (effect instanceof Effect.RunOffer run) {
+                    running.add(run.key());
+                    served.merge(teams.get(run.key()), 1, Integer::sum);
+                }
+            }
+        }
+        // Four calls fit into every ten milliseconds: two are the quiet team's fair share, and all it asks for.
+        double part = served.get("quiet") / (500.0 * 2);
+        if (part < 0.95) {
+            throw new AssertionError("the quiet team got " + part + " of its fair share: " + served);
+        }
+    }
+}
--- a/core/src/test/java/org/heatherhaven/core/proof/MembershipTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/MembershipTest.java
@@ -69,8 +69,9 @@
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         SmallFleet fleet = Fleets.started(seed, Faults.NONE, 6, Policies.first(1_000, 500, 1));
         fleet.setFaults(new Faults(0.2, 0.1, Duration.ofMillis(400), 0, 0, Duration.ofMillis(10), 0));
-        fleet.setWork(Duration.ofMillis(800), TargetResult.ANSWERED);
-        Fleets.keepCalling(fleet, Duration.ofSeconds(10), 250);
+        // Longer than the grace, so that a node that did not wait for its calls would cut them.
+        fleet.setWork(Duration.ofMillis(1_800), TargetResult.ANSWERED);
+        Fleets.keepCalling(fleet, Duration.ofSeconds(10), 700);
         fleet.run(Duration.ofSeconds(3));
         TestNode leaving = fleet.nodes.get((int) (seed % 6));
         fleet.drain(leaving);
@@ -93,4 +94,31 @@
             throw new AssertionError("it has not left");
         }
     }
+
+    @Property(tries = 30, seed = "20261204")
+    void aPeerThatNeverHearsOfADrainCantSendNewWorkAfterThreeSeconds(
+            @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 8, Policies.first(1_000, 500, 1));
+        TestNode deaf = fleet.nodes.get((int) (seed % 8));
+        TestNode leaving = fleet.nodes.get((int) ((seed + 1 + seed / 8 % 7) % 8));
+        String path = "/open/x";
+        fleet.run(Duration.ofSeconds(1));
+        fleet.setWork(Duration.ofSeconds(4), TargetResult.ANSWERED);
+        fleet.call(deaf, "long", path, Optional.empty(), Optional.empty());
+        fleet.deafen(deaf, Duration.ofSeconds(20));
+        fleet.drain(leaving);
+        Instant limit = fleet.now().plus(NO_NEW_WORK_LIMIT);
+        fleet.run(Duration.ofMillis(100));
+        fleet.setWork(Duration.ofMillis(1_900), TargetResult.ANSWERED);
+        for (int i = 0; i < 60; i++) {
+            fleet.call(deaf, "call-" + i, path, Optional.empty(), Optional.empty());
+            fleet.run(Duration.ofMillis(80));
+        }
+        boolean late = fleet.history.executions.stream()
+                .anyMatch(run ->
+                        run.node().equals(leaving.id().value()) && run.at().isAfter(limit));
+        if (late) {
+            throw new AssertionError("new work after three seconds");
+        }
+    }
 }
--- a/core/src/test/java/org/heatherhaven/core/proof/PolicyVersionsTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/PolicyVersionsTest.java
@@ -5,8 +5,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
@@ -15,6 +17,7 @@
 import org.heatherhaven.core.fleet.Policies;
 import org.heatherhaven.core.fleet.SmallFleet;
 import org.heatherhaven.core.fleet.TestNode;
+import org.heatherhaven.core.model.Reason;
 
 /** An accepted configuration is one whole numbered version, in force everywhere within seconds, and never reverts. */
 class PolicyVersionsTest {
@@ -117,4 +120,18 @@
             throw new AssertionError("the key never worked, so that nothing was checked");
         }
     }
+
+    @Example
+    void aNodeThatIsCutOffSaysThatItCantKnowWhetherAKeyWasWithdrawn() {
+        SmallFleet fleet = Fleets.started(1, Faults.NONE, 5, Policies.first(1_000, 500, 1));
+        TestNode cutOff = fleet.nodes.get(2);
+        fleet.isolate(cutOff, Duration.ofSeconds(30));
+        fleet.run(IN_FORCE_LIMIT);
+        fleet.call(cutOff, "call", "/pricing/x", Policies.key(), Optional.empty());
+        fleet.run(Duration.ofMillis(100));
+        Reason reason = fleet.history.refusals.get(0).refusal().reason();
+        if (reason != Reason.POLICY_STALE) {
+            throw new AssertionError("refused for " + reason);
+        }
+    }
 }
--- a/core/src/test/java/org/heatherhaven/core/proof/TeamRateTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/TeamRateTest.java
@@ -112,4 +112,19 @@
             throw new AssertionError("a window held " + (most - BURST / 5) + " admissions too many");
         }
     }
+
+    @Property(tries = 30, seed = "20261204")
+    void aShareThatChangesHandsMintsNoSecondBurst(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        double burst = 150;
+        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(RATE / 10, burst, 1));
+        Fleets.keepCalling(fleet, Duration.ofSeconds(40), 4);
+        fleet.run(Duration.ofMillis(500));
+        fleet.setFaults(new Faults(0.1, 0.2, Duration.ofMillis(2_500), 0, 0, Duration.ofMillis(10), 0));
+        Fleets.disturb(fleet, Duration.ofSeconds(35));
+        fleet.run(Duration.ofSeconds(40));
+        double most = highestLevel(fleet.history.admissions, RATE / 10);
+        if (most > burst + 1e-6) {
+            throw new AssertionError("a window held " + (most - burst) + " admissions too many");
+        }
+    }
 }
--- a/node/src/main/java/org/heatherhaven/node/wire/WireCodec.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/WireCodec.java
@@ -95,7 +95,8 @@
                 throw new WireException(WireException.Code.BAD_PAYLOAD, "empty " + type);
             }
             return body;
-        } catch (IOException | IllegalArgumentException | IllegalStateException | NullPointerException e) {
+        } catch (IOException | RuntimeException e) {
+            // The library throws unchecked exceptions of its own for bytes that end too early.
             throw new WireException(WireException.Code.BAD_PAYLOAD, "can't read " + type, e);
         }
     }
--- /dev/null
+++ b/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
@@ -0,0 +1,159 @@
+package org.heatherhaven.node.wire;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.DecoderException;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.heatherhaven.core.message.LoanAsk;
+import org.heatherhaven.core.message.PolicyPage;
+import org.heatherhaven.core.message.Probe;
+import org.heatherhaven.core.message.Rumours;
+import org.heatherhaven.core.model.CallHead;
+import org.heatherhaven.core.model.Header;
+import org.heatherhaven.core.model.Importance;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.MemberStatus;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Owner;
+import org.heatherhaven.core.model.PolicyPatch;
+import org.heatherhaven.core.model.PolicyVersion;
+import org.heatherhaven.core.model.RightId;
+import org.heatherhaven.core.model.Route;
+import org.heatherhaven.core.model.Team;
+import org.heatherhaven.core.model.Zone;
+
+/** Frames come out as they went in, and garbage is an error and nothing worse. */
+class FrameCodecTest {
+
+    private static final int MAX_FRAME = 64 * 1024;
+
+    private static final Member MEMBER =
+            new Member(new NodeId("10.0.0.1:7000"), 17, 2, MemberStatus.DRAINING, new Zone("r", "z"), "pricing", 15);
+
+    private static Object roundTrip(FrameType type, Object body) {
+        EmbeddedChannel out = new EmbeddedChannel(new FrameCodec(MAX_FRAME));
+        EmbeddedChannel in = new EmbeddedChannel(new FrameCodec(MAX_FRAME));
+        out.writeOutbound(Frame.of(type, 5, body));
+        in.writeInbound((ByteBuf) out.readOutbound());
+        return ((Frame) in.readInbound()).body();
+    }
+
+    private static void expect(Object expected, Object actual) {
+        if (!expected.equals(actual)) {
+            throw new AssertionError("expected " + expected + ", got " + actual);
+        }
+    }
+
+    @Example
+    void aProbeComesOutAsItWentIn() {
+        Probe probe = new Probe(MEMBER, 7, new Rumours(List.of(MEMBER), 3, 250));
+        expect(probe, roundTrip(FrameType.PROBE, probe));
+    }
+
+    @Example
+    void aLoanAskComesOutAsItWentIn() {
+        LoanAsk ask = new LoanAsk(new Owner(MEMBER.id(), 17), new RightId(RightId.Kind.SHARE, "banquets", 3), 9, 40, 8);
+        expect(ask, roundTrip(FrameType.LOAN_ASK, ask));
+    }
+
+    @Example
+    void aPolicyPageComesOutAsItWentIn() {
+        PolicyPatch patch = new PolicyPatch(
+                "id",
+                4,
+                "author",
+                "note",
+                List.of(new Team("banquets", 12.5, 6, 1)),
+                List.of(new Route(
+                        "book", "/b", "bookings", Importance.CRITICAL, true, false, Duration.ofMillis(1_500), 3)),
+                List.of(),
+                List.of("gone"),
+                List.of(),
+                List.of());
+        PolicyPage page = new PolicyPage(Optional.empty(), List.of(new PolicyVersion(5, patch)));
+        expect(page, roundTrip(FrameType.POLICY_PAGE, page));
+    }
+
+    @Example
+    void anOfferComesOutAsItWentIn() {
+        CallHead head = new CallHead(
+                "id",
+                "root",
+                "POST",
+                "/x?y=z",
+                List.of(new Header("a", "b")),
+                "pricing",
+                "quote",
+                "banquets",
+                Importance.HIGH,
+                3,
+                900,
+                2,
+                false,
+                12);
+        expect(new OfferHead(head, true), roundTrip(FrameType.OFFER, new OfferHead(head, true)));
+    }
+
+    @Property(tries = 2_000, seed = "20261204")
+    void garbageIsAnErrorOrNothing(@ForAll @Size(max = 300) byte[] garbage) {
+        EmbeddedChannel in = new EmbeddedChannel(new FrameCodec(MAX_FRAME));
+        try {
+            in.writeInbound(Unpooled.wrappedBuffer(garbage));
+        } catch (DecoderException e) {
+            requireWireException(e);
+        }
+    }
+
+    @Property(tries = 2_000, seed = "20261204")
+    void aPayloadOfGarbageIsAnError(
+            @ForAll @IntRange(max = 127) int type, @ForAll @Size(min = 1, max = 200) byte[] garbage) {
+        EmbeddedChannel in = new EmbeddedChannel(new FrameCodec(MAX_FRAME));
+        ByteBuf frame = Unpooled.buffer();
+        frame.writeInt(9 + garbage.length).writeByte(type).writeLong(1).writeBytes(garbage);
+        try {
+            in.writeInbound(frame);
+        } catch (DecoderException e) {
+            requireWireException(e);
+        }
+    }
+
+    private static void requireWireException(DecoderException e) {
+        if (!(e.getCause() instanceof WireException)) {
+            throw new AssertionError("not an error of the codec", e);
+        }
+    }
+
+    @Example
+    void aFrameBeyondTheLimitIsAnErrorBeforeItIsRead() {
+        EmbeddedChannel in = new EmbeddedChannel(new FrameCodec(MAX_FRAME));
+        try {
+            in.writeInbound(Unpooled.buffer().writeInt(MAX_FRAME + 1));
+            throw new AssertionError("accepted");
+        } catch (DecoderException e) {
+            requireWireException(e);
+        }
+    }
+
+    @Example
+    void aPayloadThatClaimsToBeHugeIsAnErrorAndTakesNoMemory() {
+        EmbeddedChannel in = new EmbeddedChannel(new FrameCodec(MAX_FRAME));
+        byte[] hugeBinary = {(byte) 0x93, (byte) 0xc6, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xf0, 0, 0, 0};
+        ByteBuf frame = Unpooled.buffer();
+        frame.writeInt(9 + hugeBinary.length).writeByte(1).writeLong(0).writeBytes(hugeBinary);
+        try {
+            in.writeInbound(frame);
+            throw new AssertionError("accepted");
+        } catch (DecoderException e) {
+            requireWireException(e);
+        }
+    }
+}
--- a/standin/src/main/java/org/heatherhaven/standin/fleet/Deployment.java
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/Deployment.java
@@ -1,11 +1,11 @@
 package org.heatherhaven.standin.fleet;
 
-import org.heatherhaven.core.model.Importance;
-
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 
+import org.heatherhaven.core.model.Importance;
+
 /** The users' deployments, in the shape and at the size of today. */
 public enum Deployment {
     QALEEN(
@@ -23,7 +23,12 @@
                             Duration.ofMillis(10),
                             Map.of("/bookings", List.of("/inventory/check", "/pricing/quote"))),
                     new ServiceShape(
-                            "dispatch", 3, 50, 400, Duration.ofMillis(10), Map.of("/dispatch", List.of("/pricing/quote"))),
+                            "dispatch",
+                            3,
+                            50,
+                            400,
+                            Duration.ofMillis(10),
+                            Map.of("/dispatch", List.of("/pricing/quote"))),
                     new ServiceShape("pricing", 3, 15, 200, Duration.ofMillis(40), Map.of())),
             List.of(
                     new Flow("reserve", "/bookings/reserve", "bookings", Importance.CRITICAL, true, 0.25, true),
@@ -44,7 +49,12 @@
                             Duration.ofMillis(20),
                             Map.of("/catalogo", List.of("/hornos/availability"))),
                     new ServiceShape(
-                            "pedidos", 4, 200, 1_500, Duration.ofMillis(20), Map.of("/pedidos", List.of("/hornos/reserve"))),
+                            "pedidos",
+                            4,
+                            200,
+                            1_500,
+                            Duration.ofMillis(20),
+                            Map.of("/pedidos", List.of("/hornos/reserve"))),
                     new ServiceShape("guias", 4, 200, 1_500, Duration.ofMillis(20), Map.of()),
                     new ServiceShape("hornos", 4, 25, 250, Duration.ofMillis(90), Map.of())),
             List.of(
@@ -141,7 +151,10 @@
      * @return root requests a second
      */
     public double capacity() {
-        double part = flows.stream().filter(Flow::usesBottleneck).mapToDouble(Flow::part).sum();
+        double part = flows.stream()
+                .filter(Flow::usesBottleneck)
+                .mapToDouble(Flow::part)
+                .sum();
         return bottleneck().capacity() / part;
     }
 }
--- a/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
@@ -1,5 +1,17 @@
 package org.heatherhaven.standin.fleet;
 
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -17,18 +29,6 @@
 import org.heatherhaven.standin.target.TargetPlan;
 import org.heatherhaven.standin.target.TargetServer;
 
-import java.net.InetSocketAddress;
-import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import java.util.function.BooleanSupplier;
-import java.util.stream.Collectors;
-
 /** A whole deployment on loopback in this process: platform, targets, and a real node beside each target. */
 public final class EmbeddedFleet implements AutoCloseable {
 
@@ -88,21 +88,20 @@
             }
         }
         units.forEach(this::start);
-        await("members", () -> units.stream()
-                .allMatch(unit -> unit.node.state().fleet().members().values().stream()
-                                .filter(member -> member.status().takesWork())
-                                .count()
-                        == units.size()));
+        await(
+                "members",
+                () -> units.stream()
+                        .allMatch(unit -> unit.node.state().fleet().members().values().stream()
+                                        .filter(member -> member.status().takesWork())
+                                        .count()
+                                == units.size()));
     }
 
     private void start(Unit unit) {
         int index = units.indexOf(unit);
         unit.target = new TargetServer(
                 new TargetPlan(
-                        unit.service.name(),
-                        unit.service.slots(),
-                        unit.service.workTime(),
-                        unit.service.calls()),
+                        unit.service.name(), unit.service.slots(), unit.service.workTime(), unit.service.calls()),
                 "http://127.0.0.1:" + unit.ports.get(1).getPort(),
                 group,
                 seed + index);
@@ -120,10 +119,7 @@
                 unit.ports.get(3),
                 Optional.empty(),
                 new TargetSettings(
-                        unit.service.name(),
-                        unit.ports.get(4),
-                        unit.service.slots(),
-                        unit.service.connections()),
+                        unit.service.name(), unit.ports.get(4), unit.service.slots(), unit.service.connections()),
                 platformUrl,
                 PLATFORM_TIMEOUT,
                 List.of("a-secret-for-measurements"),
@@ -166,8 +162,11 @@
             if (answer.verdict() != PatchVerdict.ACCEPTED) {
                 throw new IllegalStateException("the patch was not accepted: " + answer);
             }
-            await("policy", () -> units.stream()
-                    .allMatch(unit -> unit.node.state().policy().policy().version() >= answer.version()));
+            await(
+                    "policy",
+                    () -> units.stream()
+                            .allMatch(
+                                    unit -> unit.node.state().policy().policy().version() >= answer.version()));
         } catch (InterruptedException | ExecutionException e) {
             throw new IllegalStateException(e);
         }
@@ -234,7 +233,9 @@
      * @param factor 1 for the planned pace, 10 for a tenth of it
      */
     public void slow(String service, double factor) {
-        units.stream().filter(unit -> unit.service.name().equals(service)).forEach(unit -> unit.target.setSlowness(factor));
+        units.stream()
+                .filter(unit -> unit.service.name().equals(service))
+                .forEach(unit -> unit.target.setSlowness(factor));
     }
 
     /**
--- a/standin/src/main/java/org/heatherhaven/standin/fleet/FleetPolicy.java
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/FleetPolicy.java
@@ -1,5 +1,9 @@
 package org.heatherhaven.standin.fleet;
 
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
 import org.apache.commons.codec.digest.DigestUtils;
 import org.heatherhaven.core.model.Importance;
 import org.heatherhaven.core.model.KeyGrant;
@@ -7,10 +11,6 @@
 import org.heatherhaven.core.model.Route;
 import org.heatherhaven.core.model.Team;
 
-import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
-
 /** The policy of a deployment: its routes, eight teams, and a key for each. */
 public final class FleetPolicy {
 
@@ -80,28 +80,22 @@
                     RETRIES));
         }
         addNestedRoutes(deployment, routes);
-        return new PolicyPatch(
-                "first", 0, "measure", "", teams, routes, keys, List.of(), List.of(), List.of());
+        return new PolicyPatch("first", 0, "measure", "", teams, routes, keys, List.of(), List.of(), List.of());
     }
 
     private static void addNestedRoutes(Deployment deployment, List<Route> routes) {
         for (ServiceShape service : deployment.services()) {
-            service.calls().values().forEach(paths -> paths.forEach(path -> {
-                boolean known = routes.stream().anyMatch(route -> route.path().equals(path));
-                if (!known) {
-                    String name = path.substring(1).replace('/', '-');
-                    String owner = path.substring(1, path.indexOf('/', 1));
-                    routes.add(new Route(
-                            name,
-                            path,
-                            owner,
-                            Importance.NORMAL,
-                            false,
-                            false,
-                            TIMEOUT,
-                            RETRIES));
-                }
-            }));
+            service.calls()
+                    .values()
+                    .forEach(paths -> paths.forEach(path -> {
+                        boolean known =
+                                routes.stream().anyMatch(route -> route.path().equals(path));
+                        if (!known) {
+                            String name = path.substring(1).replace('/', '-');
+                            String owner = path.substring(1, path.indexOf('/', 1));
+                            routes.add(new Route(name, path, owner, Importance.NORMAL, false, false, TIMEOUT, RETRIES));
+                        }
+                    }));
         }
     }
 }
--- a/standin/src/main/java/org/heatherhaven/standin/load/CallerPlan.java
+++ b/standin/src/main/java/org/heatherhaven/standin/load/CallerPlan.java
@@ -11,8 +11,7 @@
  * @param retryPause pause before they try again
  * @param delay time from callers to nodes, one way
  */
-public record CallerPlan(
-        Duration attemptLimit, Duration patience, int retries, Duration retryPause, Duration delay) {
+public record CallerPlan(Duration attemptLimit, Duration patience, int retries, Duration retryPause, Duration delay) {
 
     /**
      * Callers that retry hard.
@@ -21,7 +20,6 @@
      * @return the plan
      */
     public static CallerPlan impatient(Duration delay) {
-        return new CallerPlan(
-                Duration.ofMillis(1_000), Duration.ofMillis(1_500), 2, Duration.ofMillis(50), delay);
+        return new CallerPlan(Duration.ofMillis(1_000), Duration.ofMillis(1_500), 2, Duration.ofMillis(50), delay);
     }
 }
--- a/standin/src/main/java/org/heatherhaven/standin/load/Callers.java
+++ b/standin/src/main/java/org/heatherhaven/standin/load/Callers.java
@@ -1,5 +1,14 @@
 package org.heatherhaven.standin.load;
 
+import java.io.IOException;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.IntFunction;
+import java.util.function.IntToDoubleFunction;
+
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -9,17 +18,8 @@
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.Response;
 import org.heatherhaven.standin.fleet.Deployment;
-import org.heatherhaven.standin.fleet.Flow;
 import org.heatherhaven.standin.fleet.FleetPolicy;
-
-import java.io.IOException;
-import java.time.Duration;
-import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.locks.LockSupport;
-import java.util.function.IntFunction;
-import java.util.function.IntToDoubleFunction;
+import org.heatherhaven.standin.fleet.Flow;
 
 /** Sends the requests of a deployment's teams with exponential gaps, each at its intended time. */
 public final class Callers implements AutoCloseable {
@@ -48,8 +48,7 @@
      * @param entryOfTeam gives the URL of a node for the next call of a team
      * @param seed start of the random choices
      */
-    public Callers(
-            Deployment deployment, CallerPlan plan, RequestLog log, IntFunction<String> entryOfTeam, long seed) {
+    public Callers(Deployment deployment, CallerPlan plan, RequestLog log, IntFunction<String> entryOfTeam, long seed) {
         this.deployment = deployment;
         this.plan = plan;
         this.log = log;
@@ -63,8 +62,7 @@
                 .build());
     }
 
-    private record Request(
-            int team, Flow flow, String key, String id, long intendedNanos, int attempt) {
+    private record Request(int team, Flow flow, String key, String id, long intendedNanos, int attempt) {
 
         Request again() {
             return new Request(team, flow, key, id, intendedNanos, attempt + 1);
@@ -152,7 +150,8 @@
                 ? client.preparePost(url).addHeader("Idempotency-Key", request.id())
                 : client.prepareGet(url);
         builder.addHeader("Authorization", "Bearer " + request.key())
-                .addHeader("Request-Timeout-Ms", Long.toString(plan.attemptLimit().toMillis()))
+                .addHeader(
+                        "Request-Timeout-Ms", Long.toString(plan.attemptLimit().toMillis()))
                 .setRequestTimeout(plan.attemptLimit().plusMillis(100))
                 .setReadTimeout(plan.attemptLimit().plusMillis(100))
                 .execute()
@@ -173,8 +172,10 @@
             }
             return;
         }
-        log.refused(failure != null ? failure.getClass().getSimpleName() : reason(response));
-        boolean again = request.attempt() < plan.retries() && tookNanos < plan.patience().toNanos();
+        log.refused(request.flow().name() + " "
+                + (failure != null ? failure.getClass().getSimpleName() : reason(response)));
+        boolean again = request.attempt() < plan.retries()
+                && tookNanos < plan.patience().toNanos();
         if (again) {
             group.schedule(() -> send(request.again()), plan.retryPause().toMillis(), TimeUnit.MILLISECONDS);
         }
--- a/standin/src/main/java/org/heatherhaven/standin/load/RequestLog.java
+++ b/standin/src/main/java/org/heatherhaven/standin/load/RequestLog.java
@@ -1,12 +1,12 @@
 package org.heatherhaven.standin.load;
 
-import org.HdrHistogram.Histogram;
-
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.HdrHistogram.Histogram;
+
 /** Counts what becomes of requests, in short bins of the time at which they were meant to start. */
 public final class RequestLog {
 
--- a/standin/src/main/java/org/heatherhaven/standin/measure/Experiment.java
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Experiment.java
@@ -1,13 +1,5 @@
 package org.heatherhaven.standin.measure;
 
-import org.heatherhaven.standin.fleet.Deployment;
-import org.heatherhaven.standin.fleet.EmbeddedFleet;
-import org.heatherhaven.standin.fleet.Flow;
-import org.heatherhaven.standin.fleet.FleetPolicy;
-import org.heatherhaven.standin.load.CallerPlan;
-import org.heatherhaven.standin.load.Callers;
-import org.heatherhaven.standin.load.RequestLog;
-
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -18,6 +10,14 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
+import org.heatherhaven.standin.fleet.Deployment;
+import org.heatherhaven.standin.fleet.EmbeddedFleet;
+import org.heatherhaven.standin.fleet.FleetPolicy;
+import org.heatherhaven.standin.fleet.Flow;
+import org.heatherhaven.standin.load.CallerPlan;
+import org.heatherhaven.standin.load.Callers;
+import org.heatherhaven.standin.load.RequestLog;
+
 /** One run: a fleet, its callers, a disturbance, and what came of it. */
 public final class Experiment {
 
@@ -43,8 +43,7 @@
      * @param seed start of all random choices
      * @param progress told in words what is going on
      */
-    public Experiment(
-            Scenario scenario, Deployment deployment, int seconds, long seed, Consumer<String> progress) {
+    public Experiment(Scenario scenario, Deployment deployment, int seconds, long seed, Consumer<String> progress) {
         this.scenario = scenario;
         this.deployment = deployment;
         this.seconds = seconds;
@@ -120,7 +119,11 @@
             flows.put(flow.name(), part(log, "", flow.name(), marks.disturbed(), marks.after()));
         }
         Map<String, Long> refusals = log.refusals();
-        long lackOfTokens = refusals.getOrDefault("rate", 0L) + refusals.getOrDefault("quota-unavailable", 0L);
+        long lackOfTokens = refusals.entrySet().stream()
+                .filter(entry ->
+                        entry.getKey().endsWith(" rate") || entry.getKey().endsWith(" quota-unavailable"))
+                .mapToLong(Map.Entry::getValue)
+                .sum();
         long all = log.count(true, "", "", 0, marks.end());
         long cause = scenario.recoversWhileDisturbed() ? marks.disturbed() : marks.after();
         return new RunResult(
@@ -136,6 +139,7 @@
                 fleet.keysSeen(),
                 log.latencyMillis(50),
                 log.latencyMillis(99),
+                marks.end(),
                 refusals,
                 log);
     }
--- a/standin/src/main/java/org/heatherhaven/standin/measure/Report.java
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Report.java
@@ -1,14 +1,5 @@
 package org.heatherhaven.standin.measure;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.heatherhaven.standin.fleet.Deployment;
-import org.heatherhaven.standin.load.RequestLog;
-import org.knowm.xchart.VectorGraphicsEncoder;
-import org.knowm.xchart.XYChart;
-import org.knowm.xchart.XYChartBuilder;
-import org.knowm.xchart.style.markers.SeriesMarkers;
-
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
@@ -18,11 +9,21 @@
 import java.util.function.ToDoubleFunction;
 import java.util.stream.DoubleStream;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.heatherhaven.standin.fleet.Deployment;
+import org.heatherhaven.standin.load.RequestLog;
+import org.knowm.xchart.VectorGraphicsEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
 /** Turns the figures of several runs into a table, JSON and a plot. */
 public final class Report {
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final double PERCENT = 100;
+    private static final long SERIES_STEP_MILLIS = 500;
     private static final int WIDTH = 1_000;
     private static final int HEIGHT = 500;
 
@@ -78,7 +79,9 @@
                     + " | " + recovery(sorted(strategy, RunResult::recoveryMillis))
                     + " | " + percent(sorted(strategy, RunResult::worstTeamPart))
                     + " | " + percent(sorted(strategy, RunResult::inRateRefusals))
-                    + " | " + (long) DoubleStream.of(sorted(strategy, RunResult::keysRunTwice)).sum()
+                    + " | "
+                    + (long) DoubleStream.of(sorted(strategy, RunResult::keysRunTwice))
+                            .sum()
                     + " | " + millis(sorted(strategy, RunResult::medianMillis))
                     + " | " + millis(sorted(strategy, RunResult::p99Millis)) + " |");
         }
@@ -102,8 +105,10 @@
     }
 
     private static String recovery(double[] sorted) {
-        return sorted[0] < 0 ? "not seen in every run" : String.format(
-                Locale.ROOT, "%.0f ms (%.0f-%.0f)", median(sorted), sorted[0], sorted[sorted.length - 1]);
+        return sorted[0] < 0
+                ? "not seen in every run"
+                : String.format(
+                        Locale.ROOT, "%.0f ms (%.0f-%.0f)", median(sorted), sorted[0], sorted[sorted.length - 1]);
     }
 
     private static String millis(double[] sorted) {
@@ -132,6 +137,11 @@
             run.put("keys_seen", result.keysSeen());
             run.put("p50_ms", result.medianMillis());
             run.put("p99_ms", result.p99Millis());
+            for (long at = 0; at < result.endMillis(); at += SERIES_STEP_MILLIS) {
+                long offered = result.log().count(true, "", "", at, at + SERIES_STEP_MILLIS);
+                long good = result.log().count(false, "", "", at, at + SERIES_STEP_MILLIS);
+                run.withArray("answered_per_half_second").add(good + "/" + offered);
+            }
             run.set("flows", JSON.valueToTree(result.flowParts()));
             run.set("refusals", JSON.valueToTree(result.refusals()));
         }
--- a/standin/src/main/java/org/heatherhaven/standin/measure/RunResult.java
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/RunResult.java
@@ -1,9 +1,9 @@
 package org.heatherhaven.standin.measure;
 
-import org.heatherhaven.standin.load.RequestLog;
-
 import java.util.Map;
 
+import org.heatherhaven.standin.load.RequestLog;
+
 /**
  * Figures of one run.
  *
@@ -21,7 +21,8 @@
  * @param keysSeen requests at targets that carried a caller's key
  * @param medianMillis median latency from the intended start
  * @param p99Millis latency that 99 in 100 stay below
- * @param refusals refusals by reason, retried ones among them
+ * @param endMillis when the last request was sent
+ * @param refusals refusals by flow and reason, retried ones among them
  * @param log all counts
  */
 public record RunResult(
@@ -37,5 +38,6 @@
         long keysSeen,
         double medianMillis,
         double p99Millis,
+        long endMillis,
         Map<String, Long> refusals,
         RequestLog log) {}
--- a/standin/src/main/java/org/heatherhaven/standin/measure/Scenario.java
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Scenario.java
@@ -1,13 +1,13 @@
 package org.heatherhaven.standin.measure;
 
-import org.heatherhaven.standin.fleet.Deployment;
-import org.heatherhaven.standin.fleet.EmbeddedFleet;
-import org.heatherhaven.standin.platform.PlatformFaults;
-
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 
+import org.heatherhaven.standin.fleet.Deployment;
+import org.heatherhaven.standin.fleet.EmbeddedFleet;
+import org.heatherhaven.standin.platform.PlatformFaults;
+
 /** What is done to a fleet while it is measured. */
 public enum Scenario {
     /** Ordinary load throughout; the largest team's calls all enter at one node. */
--- a/standin/src/main/java/org/heatherhaven/standin/measure/Strategy.java
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Strategy.java
@@ -1,12 +1,12 @@
 package org.heatherhaven.standin.measure;
 
+import java.util.Locale;
+
 import org.heatherhaven.core.logic.admission.AdmissionMode;
 import org.heatherhaven.core.logic.node.NodeRules;
 import org.heatherhaven.core.logic.retry.RetryMode;
 import org.heatherhaven.core.logic.routing.RoutingMode;
 
-import java.util.Locale;
-
 /** Ways of deciding that are measured side by side. */
 public enum Strategy {
     HEATHERHAVEN(AdmissionMode.FAIR_SHED, RoutingMode.TWO_CHOICES, RetryMode.BUDGET),
