Drain properties that see the guard's refusal and the wait for calls in flight taken out

Cause: with 'refuses nothing' or 'leaves without waiting' put in, the properties still passed: no call was long enough. Change: calls in flight at the moment of the drain, and a leaving node that stays busy while a deaf peer sends on.

--- a/core/src/test/java/org/heatherhaven/core/proof/MembershipTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/MembershipTest.java
@@ -73,7 +73,11 @@
         fleet.setWork(Duration.ofMillis(1_700), TargetResult.ANSWERED);
         Fleets.keepCalling(fleet, Duration.ofSeconds(10), 1_200);
         fleet.run(Duration.ofSeconds(3));
-        TestNode leaving = fleet.nodes.get((int) (seed % 6));
+        TestNode leaving = fleet.nodes.get((int) (seed % 3) * 2 + 1);
+        for (int i = 0; i < 3; i++) {
+            fleet.call(fleet.nodes.get(0), "last-" + i, "/open/x", Optional.empty(), Optional.empty());
+        }
+        fleet.run(Duration.ofMillis(30));
         fleet.drain(leaving);
         Instant limit = fleet.now().plus(NO_NEW_WORK_LIMIT);
         fleet.run(Duration.ofSeconds(14));
@@ -100,16 +104,23 @@
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         SmallFleet fleet = Fleets.started(seed, Faults.NONE, 8, Policies.first(1_000, 500, 1));
         TestNode deaf = fleet.nodes.get((int) (seed % 8));
-        TestNode leaving = fleet.nodes.get((int) ((seed + 1 + seed / 8 % 7) % 8));
+        TestNode leaving = fleet.nodes.get((int) (seed / 8 % 4) * 2 + 1);
+        if (leaving == deaf) {
+            return;
+        }
         String path = "/open/x";
         fleet.run(Duration.ofSeconds(1));
         fleet.setWork(Duration.ofSeconds(4), TargetResult.ANSWERED);
-        fleet.call(deaf, "long", path, Optional.empty(), Optional.empty());
+        for (int i = 0; i < 8; i++) {
+            // One at least of these keeps the leaving node busy beyond the three seconds.
+            fleet.call(deaf, "long", path, Optional.empty(), Optional.empty());
+        }
+        fleet.run(Duration.ofMillis(50));
         fleet.deafen(deaf, Duration.ofSeconds(20));
         fleet.drain(leaving);
         Instant limit = fleet.now().plus(NO_NEW_WORK_LIMIT);
         fleet.run(Duration.ofMillis(100));
-        fleet.setWork(Duration.ofMillis(1_900), TargetResult.ANSWERED);
+        fleet.setWork(Duration.ofMillis(300), TargetResult.ANSWERED);
         for (int i = 0; i < 60; i++) {
             fleet.call(deaf, "call-" + i, path, Optional.empty(), Optional.empty());
             fleet.run(Duration.ofMillis(80));
