--- a/cli/src/main/java/org/heatherhaven/cli/ExitCode.java
+++ b/cli/src/main/java/org/heatherhaven/cli/ExitCode.java
@@ -11,7 +11,9 @@
     /** What happened is not known; ask again. */
     UNKNOWN(3),
     /** The node could not be reached. */
-    UNREACHABLE(4);
+    UNREACHABLE(4),
+    /** A fault of the program itself; its trace is on the standard error. */
+    FAILED(70);
 
     private final int code;
 
--- a/cli/src/main/java/org/heatherhaven/cli/Main.java
+++ b/cli/src/main/java/org/heatherhaven/cli/Main.java
@@ -90,9 +90,14 @@
         } catch (ParameterException | SettingsException e) {
             System.err.println(PROGRAM + ": " + e.getMessage());
             return ExitCode.USAGE;
-        } catch (OperatorException e) {
-            System.err.println(PROGRAM + ": " + e.getMessage());
-            return e.exitCode();
+        } catch (RuntimeException e) {
+            if (e instanceof OperatorException refused) {
+                System.err.println(PROGRAM + ": " + e.getMessage());
+                return refused.exitCode();
+            }
+            // Other threads would keep the process alive without anyone to end it.
+            e.printStackTrace();
+            return ExitCode.FAILED;
         }
     }
 
--- a/cli/src/main/java/org/heatherhaven/cli/measure/DemoCommand.java
+++ b/cli/src/main/java/org/heatherhaven/cli/measure/DemoCommand.java
@@ -18,11 +18,14 @@
 @Parameters(commandDescription = "Show ordinary load, a surge, a slow service and a noisy team, against a baseline")
 public final class DemoCommand implements Command {
 
+    private static final int WARM_UP_SECONDS = 6;
+
     @Parameter(names = "--seconds", description = "Length of the load of each run")
-    private int seconds = 18;
+    private int seconds = 16;
 
     @Override
     public ExitCode run() {
+        new Experiment(Scenario.DEMO, Deployment.QALEEN, WARM_UP_SECONDS, 1, line -> {}).run(Strategy.HEATHERHAVEN);
         List<RunResult> results = new ArrayList<>();
         for (Strategy strategy : List.of(Strategy.HEATHERHAVEN, Strategy.PASS_THROUGH)) {
             Experiment experiment = new Experiment(
--- a/cli/src/main/java/org/heatherhaven/cli/measure/MeasureCommand.java
+++ b/cli/src/main/java/org/heatherhaven/cli/measure/MeasureCommand.java
@@ -21,13 +21,16 @@
 import org.heatherhaven.standin.measure.Report;
 import org.heatherhaven.standin.measure.RunResult;
 import org.heatherhaven.standin.measure.Scenario;
+import org.heatherhaven.standin.measure.Slopes;
 import org.heatherhaven.standin.measure.Strategy;
 
 /** Measures ways of deciding side by side. */
 @Parameters(commandDescription = "Measure a scenario on real nodes and stand-ins on loopback; last line is JSON")
 public final class MeasureCommand implements Command {
 
-    @Parameter(description = "SCENARIO", required = true)
+    private static final String SLOPES = "slopes";
+
+    @Parameter(description = "SCENARIO, or 'slopes' for the cost of control at growing fleets", required = true)
     private String scenario;
 
     @Parameter(names = "--deployment", description = "qaleen or tibas")
@@ -42,6 +45,9 @@
     @Parameter(names = "--rounds", description = "Runs of each way of deciding, interleaved")
     private int rounds = 1;
 
+    @Parameter(names = "--warm-up", description = "Seconds of load before the first run, not counted; 0 for none")
+    private int warmUpSeconds = 10;
+
     @Parameter(names = "--strategies", description = "Ways of deciding, separated by commas")
     private List<String> strategies = List.of("heatherhaven", "pass-through");
 
@@ -53,9 +59,18 @@
 
     @Override
     public ExitCode run() {
+        if (scenario.equals(SLOPES)) {
+            new Slopes(System.out::println).run();
+            return ExitCode.OK;
+        }
         Scenario wanted = constant(Scenario.class, scenario);
         Deployment fleet = constant(Deployment.class, deployment);
         List<RunResult> results = new ArrayList<>();
+        if (warmUpSeconds > 0) {
+            // The first fleet of a process runs on code that is not compiled yet; its figures are thrown away.
+            new Experiment(wanted, fleet, warmUpSeconds, seed, line -> System.err.println("  warm-up, " + line))
+                    .run(Strategy.HEATHERHAVEN);
+        }
         for (int round = 0; round < rounds; round++) {
             for (String strategy : strategies) {
                 Experiment experiment =
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
@@ -174,7 +174,7 @@
     public static MembershipState listed(MembershipState state, List<Member> members, Instant now, Outbox out) {
         MembershipState next = state;
         for (Member member : members) {
-            next = learn(next, member, now);
+            next = learnQuietly(next, member, now);
         }
         List<Member> others = members.stream()
                 .filter(member -> !member.id().equals(state.self().id()))
@@ -221,7 +221,7 @@
     public static MembershipState page(MembershipState state, MembersPage page, Instant now, Outbox out) {
         MembershipState next = state;
         for (Member member : page.members()) {
-            next = learn(next, member, now);
+            next = learnQuietly(next, member, now);
         }
         if (page.more() && !page.members().isEmpty()) {
             String last = page.members().get(page.members().size() - 1).id().value();
@@ -321,7 +321,14 @@
         return probeNeighbours(addNews(state.withMember(self), self), rumours, now, out);
     }
 
-    static MembershipState learn(MembershipState state, Member account, Instant now) {
+    private static MembershipState learn(MembershipState state, Member account, Instant now) {
+        MembershipState next = learnQuietly(state, account, now);
+        boolean about = account.id().equals(state.self().id());
+        return next == state || about ? next : addNews(next, account);
+    }
+
+    /** Takes an account that others know already, so that it need not be told again. */
+    private static MembershipState learnQuietly(MembershipState state, Member account, Instant now) {
         if (account.id().equals(state.self().id())) {
             return aboutSelf(state, account);
         }
@@ -329,7 +336,7 @@
         if (known.isPresent() && !account.supersedes(known.get())) {
             return state;
         }
-        MembershipState next = addNews(state.withMember(account), account);
+        MembershipState next = state.withMember(account);
         if (account.status() == MemberStatus.SUSPECT) {
             return next.withSuspects(next.suspects().plus(account.id(), now.plus(DEAD_AFTER)));
         }
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipState.java
@@ -87,6 +87,15 @@
         return services.getOrDefault(service, TreePVector.empty());
     }
 
+    /**
+     * Tells whether changes wait to be told.
+     *
+     * @return true if probes carry news
+     */
+    public boolean hasNews() {
+        return !news.isEmpty();
+    }
+
     MembershipState withMember(Member member) {
         PMap<String, PVector<NodeId>> index = services;
         Member known = members.get(member.id());
--- a/standin/src/main/java/org/heatherhaven/standin/fleet/Ports.java
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/Ports.java
@@ -1,16 +1,22 @@
 package org.heatherhaven.standin.fleet;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** Finds free ports on loopback. */
+/** Finds free ports on loopback, below the range that the system gives to outgoing connections. */
 public final class Ports {
 
+    private static final int FIRST = 15_000;
+    private static final int COUNT = 17_000;
+    private static final int STRIDE = 211;
+    private static final AtomicInteger NEXT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * STRIDE % COUNT));
+
     private Ports() {}
 
     /**
@@ -20,26 +26,21 @@
      * @return the addresses, all different
      */
     public static List<InetSocketAddress> free(int count) {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            for (int i = 0; i < count; i++) {
-                sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+        List<InetSocketAddress> found = new ArrayList<>();
+        while (found.size() < count) {
+            int port = FIRST + NEXT.getAndIncrement() % COUNT;
+            if (isFree(port)) {
+                found.add(new InetSocketAddress("127.0.0.1", port));
             }
-            return sockets.stream()
-                    .map(socket -> new InetSocketAddress("127.0.0.1", socket.getLocalPort()))
-                    .toList();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        } finally {
-            sockets.forEach(Ports::close);
         }
+        return found;
     }
 
-    private static void close(ServerSocket socket) {
-        try {
-            socket.close();
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            return false;
         }
     }
 }
--- /dev/null
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Slopes.java
@@ -0,0 +1,322 @@
+package org.heatherhaven.standin.measure;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.event.ControlEvent;
+import org.heatherhaven.core.event.Event;
+import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.event.PlatformEvent;
+import org.heatherhaven.core.event.TrafficEvent;
+import org.heatherhaven.core.logic.node.NodeReducer;
+import org.heatherhaven.core.logic.node.NodeRules;
+import org.heatherhaven.core.logic.node.NodeState;
+import org.heatherhaven.core.message.LoanAsk;
+import org.heatherhaven.core.message.PeerMessage;
+import org.heatherhaven.core.message.PolicyPage;
+import org.heatherhaven.core.message.Probe;
+import org.heatherhaven.core.message.ProbeAck;
+import org.heatherhaven.core.message.PromiseAsk;
+import org.heatherhaven.core.message.Rumours;
+import org.heatherhaven.core.model.CallHead;
+import org.heatherhaven.core.model.Importance;
+import org.heatherhaven.core.model.KeyGrant;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.MemberStatus;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Owner;
+import org.heatherhaven.core.model.PolicyPatch;
+import org.heatherhaven.core.model.PolicyVersion;
+import org.heatherhaven.core.model.RightClaim;
+import org.heatherhaven.core.model.RightId;
+import org.heatherhaven.core.model.Route;
+import org.heatherhaven.core.model.Signal;
+import org.heatherhaven.core.model.Zone;
+import org.heatherhaven.node.wire.FrameType;
+import org.heatherhaven.node.wire.WireCodec;
+
+/** Measures how the cost of one node's control grows with the fleet, on one reducer without sockets. */
+public final class Slopes {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final int[] FLEETS = {1_000, 10_000, 24_000};
+    private static final int MEMBERS_PER_SERVICE = 18;
+    private static final int ZONES = 18;
+    private static final int REGIONS = 6;
+    private static final int QUIET_SECONDS = 60;
+    private static final int TICKS_PER_SECOND = 40;
+    private static final int CALLS = 20_000;
+    private static final int FRAME_HEAD_BYTES = 13;
+    private static final double NANOS_PER_MICRO = 1_000;
+
+    private final Consumer<String> out;
+
+    /**
+     * Creates the measurement.
+     *
+     * @param out takes the lines of the report
+     */
+    public Slopes(Consumer<String> out) {
+        this.out = out;
+    }
+
+    /** Measures all slopes. */
+    public void run() {
+        warmUp();
+        out.accept(
+                "| members | state, MB | a quiet second, µs | a probe, µs | news of a member, µs | a call at entry, µs"
+                        + " | an offer at its target, µs | messages a quiet second | bytes a quiet second |");
+        out.accept("|---|---|---|---|---|---|---|---|---|");
+        for (int members : FLEETS) {
+            out.accept(row(members));
+        }
+        out.accept("");
+        out.accept("| message | bytes with frame |");
+        out.accept("|---|---|");
+        messages()
+                .forEach(message -> out.accept(String.format(
+                        Locale.ROOT, "| %s | %d |", message.getClass().getSimpleName(), bytes(message))));
+    }
+
+    private void warmUp() {
+        for (int i = 0; i < 3; i++) {
+            NodeState state = joined(2_000);
+            quiet(state, 10);
+            calls(state);
+            offers(state);
+        }
+    }
+
+    private String row(int members) {
+        long before = usedMemory();
+        NodeState state = joined(members);
+        double megabytes = (usedMemory() - before) / 1e6;
+        Quiet quiet = quiet(state, QUIET_SECONDS);
+        return String.format(
+                Locale.ROOT,
+                "| %d | %.1f | %.0f | %.1f | %.1f | %.1f | %.1f | %.1f | %.0f |",
+                members,
+                megabytes,
+                quiet.micros(),
+                probes(state, members),
+                news(state, members),
+                calls(state),
+                offers(state),
+                quiet.messages(),
+                quiet.bytes());
+    }
+
+    private static long usedMemory() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    private static Member member(int index) {
+        return new Member(
+                new NodeId("10." + index / 65_536 + "." + index / 256 % 256 + "." + index % 256 + ":7300"),
+                START.toEpochMilli(),
+                0,
+                MemberStatus.ALIVE,
+                new Zone("region-" + index % REGIONS, "zone-" + index % ZONES),
+                "service-" + index / MEMBERS_PER_SERVICE,
+                50);
+    }
+
+    /** A node that knows a whole fleet and has nothing left to tell. */
+    private static NodeState joined(int members) {
+        NodeState state = NodeState.start(NodeRules.defaults(1), member(0), START);
+        List<Member> all = new ArrayList<>();
+        for (int i = 1; i < members; i++) {
+            all.add(member(i));
+        }
+        state = step(state, new PlatformEvent.PolicyRead(Optional.empty(), List.of(version()), 0), START)
+                .state();
+        state = step(state, new PlatformEvent.MembersListed(all), START).state();
+        Instant now = START;
+        while (state.fleet().hasNews()) {
+            now = now.plusMillis(200);
+            state = tickAnswered(state, now, new int[2]);
+        }
+        return state;
+    }
+
+    private static PolicyVersion version() {
+        return new PolicyVersion(
+                1,
+                new PolicyPatch(
+                        "first",
+                        0,
+                        "slopes",
+                        "",
+                        List.of(),
+                        List.of(new Route(
+                                "open",
+                                "/open",
+                                "service-0",
+                                Importance.NORMAL,
+                                false,
+                                true,
+                                Duration.ofSeconds(2),
+                                3)),
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        List.of()));
+    }
+
+    private static NodeReducer.Result step(NodeState state, Event event, Instant now) {
+        return NodeReducer.reduce(state, event, now);
+    }
+
+    /** One tick, with every probe answered as by a member that has no news. */
+    private static NodeState tickAnswered(NodeState state, Instant now, int[] sent) {
+        NodeReducer.Result result = step(state, new ControlEvent.Tick(), now);
+        NodeState next = result.state();
+        for (Effect effect : result.effects()) {
+            if (effect instanceof Effect.Send send) {
+                sent[0]++;
+                sent[1] += bytes(send.message());
+                Optional<PeerMessage> answer = answer(next, send);
+                if (answer.isPresent()) {
+                    sent[0]++;
+                    sent[1] += bytes(answer.get());
+                    next = step(next, new ControlEvent.PeerSaid(answer.get()), now)
+                            .state();
+                }
+            }
+        }
+        return next;
+    }
+
+    private static Optional<PeerMessage> answer(NodeState state, Effect.Send send) {
+        if (!(send.message() instanceof Probe probe)) {
+            return Optional.empty();
+        }
+        return state.fleet()
+                .find(send.to())
+                .map(member -> new ProbeAck(member, probe.seq(), new Rumours(List.of(), 1, 500)));
+    }
+
+    private record Quiet(double micros, double messages, double bytes) {}
+
+    private static Quiet quiet(NodeState start, int seconds) {
+        NodeState state = start;
+        int[] sent = new int[2];
+        Instant now = start.steppedAt();
+        long began = System.nanoTime();
+        for (int tick = 0; tick < seconds * TICKS_PER_SECOND; tick++) {
+            now = now.plusMillis(1_000 / TICKS_PER_SECOND);
+            state = tickAnswered(state, now, sent);
+        }
+        double micros = (System.nanoTime() - began) / NANOS_PER_MICRO / seconds;
+        // Each probe this node sends stands for one that it receives, with an answer each.
+        return new Quiet(micros, 2.0 * sent[0] / seconds, 2.0 * sent[1] / seconds);
+    }
+
+    private static double probes(NodeState start, int members) {
+        NodeState state = start;
+        long began = System.nanoTime();
+        for (int i = 0; i < CALLS; i++) {
+            Probe probe = new Probe(member(1 + i % (members - 1)), i, new Rumours(List.of(), 1, 500));
+            state = step(state, new ControlEvent.PeerSaid(probe), state.steppedAt())
+                    .state();
+        }
+        return (System.nanoTime() - began) / NANOS_PER_MICRO / CALLS;
+    }
+
+    private static double news(NodeState start, int members) {
+        NodeState state = start;
+        int changes = 500;
+        long began = System.nanoTime();
+        for (int i = 0; i < changes; i++) {
+            Member changed = member(1 + i % (members - 1)).refuted(i + 1, MemberStatus.ALIVE);
+            Probe probe = new Probe(member(1), i, new Rumours(List.of(changed), 1, 500));
+            state = step(state, new ControlEvent.PeerSaid(probe), state.steppedAt())
+                    .state();
+        }
+        return (System.nanoTime() - began) / NANOS_PER_MICRO / changes;
+    }
+
+    private static double calls(NodeState start) {
+        NodeState state = start;
+        long began = System.nanoTime();
+        for (int i = 1; i <= CALLS; i++) {
+            TrafficEvent.CallRequest request = new TrafficEvent.CallRequest(
+                    "GET",
+                    "/open/x",
+                    List.of(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty());
+            state = step(state, new TrafficEvent.CallArrived(i, TrafficEvent.Door.CALLER, request), state.steppedAt())
+                    .state();
+            state = step(state, new TrafficEvent.AttemptEnded(i, 1, true, Signal.calm(0)), state.steppedAt())
+                    .state();
+        }
+        return (System.nanoTime() - began) / NANOS_PER_MICRO / CALLS;
+    }
+
+    private static double offers(NodeState start) {
+        NodeState state = start;
+        CallHead head = new CallHead(
+                "r", "root", "GET", "/x", List.of(), "service-0", "open", "", Importance.NORMAL, 0, 1_000, 1, false, 1);
+        long began = System.nanoTime();
+        for (int i = 1; i <= CALLS; i++) {
+            OfferKey key = new OfferKey(1, i);
+            state = step(state, new TrafficEvent.OfferArrived(key, head), state.steppedAt())
+                    .state();
+            state = step(
+                            state,
+                            new TrafficEvent.TargetEnded(key, TrafficEvent.TargetResult.ANSWERED),
+                            state.steppedAt())
+                    .state();
+        }
+        return (System.nanoTime() - began) / NANOS_PER_MICRO / CALLS;
+    }
+
+    private static int bytes(PeerMessage message) {
+        ByteBuf buffer = Unpooled.buffer();
+        WireCodec.write(FrameType.of(message), message, buffer);
+        int bytes = buffer.readableBytes() + FRAME_HEAD_BYTES;
+        buffer.release();
+        return bytes;
+    }
+
+    private static List<PeerMessage> messages() {
+        Owner owner = member(7).owner();
+        List<RightClaim> claims = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            claims.add(new RightClaim(new RightId(RightId.Kind.SLOT, "service-17", i), 3));
+        }
+        PolicyPatch key = new PolicyPatch(
+                "0b0c1f5e-6f0e-4f7e-9d0a-1f2e3d4c5b6a",
+                1,
+                "operator",
+                "issue a key",
+                List.of(),
+                List.of(),
+                List.of(new KeyGrant("a".repeat(64), "team-17")),
+                List.of(),
+                List.of(),
+                List.of());
+        return List.of(
+                new Probe(member(1), 77, new Rumours(List.of(), 12_345, 800)),
+                new Probe(member(1), 77, new Rumours(List.of(member(2), member(3)), 12_345, 800)),
+                new ProbeAck(member(1), 77, new Rumours(List.of(), 12_345, 800)),
+                new LoanAsk(owner, new RightId(RightId.Kind.SHARE, "team-17", 3), 1_234, 20, 1_230),
+                new PromiseAsk(owner, 99, claims),
+                new PolicyPage(Optional.empty(), List.of(new PolicyVersion(12_345, key))));
+    }
+}
