--- a/core/src/test/java/org/heatherhaven/core/fleet/Faults.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/Faults.java
@@ -2,7 +2,17 @@
 
 import java.time.Duration;
 
-/** What goes wrong between the nodes of a {@link SmallFleet}. */
+/**
+ * What goes wrong between the nodes of a {@link SmallFleet}.
+ *
+ * @param lossOfMessages part of the control messages that get lost, 0 to 1
+ * @param doubling part of the control messages that arrive twice, 0 to 1
+ * @param slowestMessage longest time that a control message takes
+ * @param lossOfAnswers part of the platform's answers that get lost, 0 to 1
+ * @param lateWrites part of the platform's writes that take effect after their sender has given up, 0 to 1
+ * @param latestWrite longest time until such a write takes effect
+ * @param clockDrift how much faster or slower than true time a node's clock may run, 0 to 1
+ */
 public record Faults(
         double lossOfMessages,
         double doubling,
--- a/core/src/test/java/org/heatherhaven/core/fleet/History.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/History.java
@@ -11,26 +11,55 @@
 /** What happened in a run, in the order of true time. */
 public final class History {
 
-    /** A root request was let in at an entry node for the first time. */
+    /**
+     * A root request was let in at an entry node for the first time.
+     *
+     * @param at when
+     * @param team its team
+     * @param node the entry node
+     */
     public record Admission(Instant at, String team, String node) {}
 
-    /** A call was handed to a target. */
+    /**
+     * A call was handed to a target.
+     *
+     * @param at when
+     * @param requestId identifier of the call
+     * @param rootId identifier of its root request
+     * @param submission name given by the test
+     * @param node node of the target
+     */
     public record Execution(Instant at, String requestId, String rootId, String submission, String node) {}
 
-    /** A caller got a refusal. */
+    /**
+     * A caller got a refusal.
+     *
+     * @param at when
+     * @param submission name given by the test
+     * @param refusal the refusal
+     */
     public record Refused(Instant at, String submission, Refusal refusal) {}
 
-    public final List<Admission> admissions = new ArrayList<>();
-    public final List<Execution> executions = new ArrayList<>();
-    public final List<Refused> refusals = new ArrayList<>();
-    public final List<String> answered = new ArrayList<>();
-    public final Map<String, String> submissionOfRequest = new HashMap<>();
-    public final List<String> broken = new ArrayList<>();
-    public int retries;
-
-    public long executionsOf(String submission) {
-        return executions.stream()
-                .filter(run -> run.submission().equals(submission))
-                .count();
+    final List<Admission> admissions = new ArrayList<>();
+    final List<Execution> executions = new ArrayList<>();
+    final List<Refused> refusals = new ArrayList<>();
+    final List<String> answered = new ArrayList<>();
+    final Map<String, String> submissionOfRequest = new HashMap<>();
+    int retries;
+
+    public List<Admission> admissions() {
+        return admissions;
+    }
+
+    public List<Execution> executions() {
+        return executions;
+    }
+
+    public List<Refused> refusals() {
+        return refusals;
+    }
+
+    public int retries() {
+        return retries;
     }
 }
--- a/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
@@ -48,9 +48,9 @@
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
     private static final Duration TICK = Duration.ofMillis(50);
 
-    public final History history = new History();
-    public final Map<String, List<Effect.AnswerPatch>> patchAnswers = new HashMap<>();
-    public final List<TestNode> nodes = new ArrayList<>();
+    final History history = new History();
+    final Map<String, List<Effect.AnswerPatch>> patchAnswers = new HashMap<>();
+    final List<TestNode> nodes = new ArrayList<>();
     private final TestPlatform platform = new TestPlatform();
     private final PriorityQueue<Due> queue =
             new PriorityQueue<>(Comparator.comparing(Due::at).thenComparing(Due::order));
@@ -71,6 +71,18 @@
         this.faults = faults;
     }
 
+    public History history() {
+        return history;
+    }
+
+    public Map<String, List<Effect.AnswerPatch>> patchAnswers() {
+        return patchAnswers;
+    }
+
+    public List<TestNode> nodes() {
+        return nodes;
+    }
+
     public SplittableRandom random() {
         return random;
     }
--- a/core/src/test/java/org/heatherhaven/core/proof/AtMostOnceTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/AtMostOnceTest.java
@@ -30,7 +30,7 @@
     void aKeyRunsAtMostOnceHoweverOftenItIsSentThroughWhicheverNode(
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         SmallFleet fleet = disturbedBookings(seed);
-        Map<String, Long> runs = fleet.history.executions.stream()
+        Map<String, Long> runs = fleet.history().executions().stream()
                 .filter(run -> run.submission().startsWith("key-"))
                 .collect(Collectors.groupingBy(
                         run -> run.submission().substring(0, run.submission().indexOf('#')), Collectors.counting()));
@@ -47,11 +47,11 @@
     @Property(tries = 50, seed = "20261205")
     void aRefusalThatSaysNotRunIsTrue(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         SmallFleet fleet = disturbedBookings(seed);
-        Set<String> ran = fleet.history.executions.stream()
+        Set<String> ran = fleet.history().executions().stream()
                 .map(History.Execution::submission)
                 .collect(Collectors.toSet());
         long refusedNotRun = 0;
-        for (History.Refused refused : fleet.history.refusals) {
+        for (History.Refused refused : fleet.history().refusals()) {
             if (refused.refusal().outcome() == Outcome.NOT_RUN) {
                 refusedNotRun++;
                 if (ran.contains(refused.submission())) {
@@ -105,11 +105,11 @@
         fleet.run(Duration.ofSeconds(1));
         for (int key = 0; key < 40; key++) {
             String name = "key-" + key;
-            fleet.call(fleet.nodes.get(key % 4), name + "#0", "/bookings/new", Policies.key(), Optional.of(name));
+            fleet.call(fleet.nodes().get(key % 4), name + "#0", "/bookings/new", Policies.key(), Optional.of(name));
             fleet.run(Duration.ofMillis(20));
         }
         fleet.run(Duration.ofSeconds(1));
-        fleet.drain(fleet.nodes.get((int) (seed % 4)));
+        fleet.drain(fleet.nodes().get((int) (seed % 4)));
         fleet.run(Duration.ofSeconds(6));
         Map<String, Outcome> told = new HashMap<>();
         for (int key = 0; key < 40; key++) {
@@ -119,8 +119,10 @@
                             node -> fleet.call(node, name + "#1", "/bookings/new", Policies.key(), Optional.of(name)));
         }
         fleet.run(Duration.ofSeconds(3));
-        fleet.history.refusals.forEach(
-                refused -> told.put(refused.submission(), refused.refusal().outcome()));
+        fleet.history()
+                .refusals()
+                .forEach(refused ->
+                        told.put(refused.submission(), refused.refusal().outcome()));
         List<String> wrong = IntStream.range(0, 40)
                 .mapToObj(key -> "key-" + key + "#1")
                 .filter(submission -> told.get(submission) != Outcome.RUN)
@@ -135,11 +137,11 @@
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(500, 200, 1));
         fleet.run(Duration.ofSeconds(1));
-        TestNode frozen = fleet.nodes.get((int) (seed % 4));
+        TestNode frozen = fleet.nodes().get((int) (seed % 4));
         fleet.freeze(frozen, Duration.ofSeconds(20));
         Instant from = fleet.now();
         for (int i = 0; i < 40; i++) {
-            TestNode entry = fleet.nodes.get(i % 4);
+            TestNode entry = fleet.nodes().get(i % 4);
             String name = "key-" + i;
             if (entry != frozen) {
                 fleet.call(entry, name + "#0", "/bookings/new", Policies.key(), Optional.of(name));
@@ -147,7 +149,7 @@
             }
         }
         fleet.run(Duration.ofSeconds(25));
-        boolean ranLate = fleet.history.executions.stream()
+        boolean ranLate = fleet.history().executions().stream()
                 .anyMatch(run ->
                         run.node().equals(frozen.id().value()) && run.at().isAfter(from));
         if (ranLate) {
--- a/core/src/test/java/org/heatherhaven/core/proof/ExclusiveRightsTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/ExclusiveRightsTest.java
@@ -39,7 +39,7 @@
     private static List<String> usedTwice(SmallFleet fleet) {
         Map<RightId, String> users = new HashMap<>();
         List<String> twice = new ArrayList<>();
-        for (TestNode node : fleet.nodes) {
+        for (TestNode node : fleet.nodes()) {
             if (!node.alive()) {
                 continue;
             }
@@ -88,7 +88,7 @@
     }
 
     private static Optional<TestNode> userOf(SmallFleet fleet, RightId right) {
-        return fleet.nodes.stream()
+        return fleet.nodes().stream()
                 .filter(node -> node.alive() && node.state().rights().usable(right, Fleets.clock(node, fleet)))
                 .findFirst();
     }
--- a/core/src/test/java/org/heatherhaven/core/proof/Fleets.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/Fleets.java
@@ -29,7 +29,7 @@
             start(fleet, i, seed);
         }
         fleet.run(Duration.ofSeconds(2));
-        fleet.patch(fleet.nodes.get(0), policy);
+        fleet.patch(fleet.nodes().get(0), policy);
         fleet.run(Duration.ofSeconds(4));
         return fleet;
     }
@@ -65,7 +65,7 @@
     }
 
     static Optional<TestNode> anyAlive(SmallFleet fleet) {
-        List<TestNode> alive = fleet.nodes.stream().filter(TestNode::alive).toList();
+        List<TestNode> alive = fleet.nodes().stream().filter(TestNode::alive).toList();
         return alive.isEmpty()
                 ? Optional.empty()
                 : Optional.of(alive.get(fleet.random().nextInt(alive.size())));
--- a/core/src/test/java/org/heatherhaven/core/proof/IsolationTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/IsolationTest.java
@@ -14,15 +14,15 @@
 class IsolationTest {
 
     private final SmallFleet fleet = Fleets.started(1, Faults.NONE, 2, Policies.first(200, 50, 1));
-    private final TestNode node = fleet.nodes.get(0);
+    private final TestNode node = fleet.nodes().get(0);
 
     private Reason refusalOf(String path, Optional<String> key) {
         fleet.call(node, "call", path, key, Optional.empty());
         fleet.run(Duration.ofSeconds(1));
-        if (fleet.history.refusals.isEmpty()) {
+        if (fleet.history().refusals().isEmpty()) {
             throw new AssertionError("not refused");
         }
-        return fleet.history.refusals.get(0).refusal().reason();
+        return fleet.history().refusals().get(0).refusal().reason();
     }
 
     @Example
@@ -39,23 +39,23 @@
     void anOpenRouteRunsForNoTeam() {
         fleet.call(node, "call", "/open/x", Optional.empty(), Optional.empty());
         fleet.run(Duration.ofSeconds(1));
-        expect(1, fleet.history.executions.size());
-        expect(0, fleet.history.admissions.size());
+        expect(1, fleet.history().executions().size());
+        expect(0, fleet.history().admissions().size());
     }
 
     @Example
     void aRequestRunsForTheTeamOfItsKey() {
         fleet.call(node, "call", "/pricing/x", Optional.of(Policies.OTHER_KEY), Optional.empty());
         fleet.run(Duration.ofSeconds(1));
-        expect("crews", fleet.history.admissions.get(0).team());
+        expect("crews", fleet.history().admissions().get(0).team());
     }
 
     @Example
     void aNestedCallWithAContextThatHasEndedDoesNotRun() {
         fleet.nested(node, "no-such-context", "call", "/pricing/x");
         fleet.run(Duration.ofSeconds(1));
-        expect(Reason.CONTEXT_ENDED, fleet.history.refusals.get(0).refusal().reason());
-        expect(0, fleet.history.executions.size());
+        expect(Reason.CONTEXT_ENDED, fleet.history().refusals().get(0).refusal().reason());
+        expect(0, fleet.history().executions().size());
     }
 
     private static void expect(Object expected, Object actual) {
--- a/core/src/test/java/org/heatherhaven/core/proof/MembershipTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/MembershipTest.java
@@ -28,7 +28,7 @@
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         SmallFleet fleet = Fleets.started(seed, Faults.NONE, 8, Policies.first(200, 50, 1));
         fleet.setFaults(new Faults(0.1, 0.1, Duration.ofMillis(200), 0, 0, Duration.ofMillis(10), 0));
-        TestNode victim = fleet.nodes.get((int) (seed % 8));
+        TestNode victim = fleet.nodes().get((int) (seed % 8));
         fleet.kill(victim);
         fleet.run(Duration.ofSeconds(10));
         expect(fleet, victim.id(), MemberStatus.DEAD);
@@ -42,7 +42,7 @@
     @Property(tries = 20, seed = "20261204")
     void aFrozenNodeThatThawsIsAMemberAgain(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         SmallFleet fleet = Fleets.started(seed, Faults.NONE, 6, Policies.first(200, 50, 1));
-        TestNode frozen = fleet.nodes.get((int) (seed % 6));
+        TestNode frozen = fleet.nodes().get((int) (seed % 6));
         fleet.freeze(frozen, Duration.ofSeconds(12));
         fleet.run(Duration.ofSeconds(11));
         expect(fleet, frozen.id(), MemberStatus.DEAD);
@@ -51,7 +51,7 @@
     }
 
     private static void expect(SmallFleet fleet, NodeId id, MemberStatus status) {
-        for (TestNode node : fleet.nodes) {
+        for (TestNode node : fleet.nodes()) {
             if (!node.alive()
                     || node.id().equals(id)
                     || node.clockAt(fleet.now()).isBefore(Instant.EPOCH)) {
@@ -73,22 +73,22 @@
         fleet.setWork(Duration.ofMillis(1_700), TargetResult.ANSWERED);
         Fleets.keepCalling(fleet, Duration.ofSeconds(10), 1_200);
         fleet.run(Duration.ofSeconds(3));
-        TestNode leaving = fleet.nodes.get((int) (seed % 3) * 2 + 1);
+        TestNode leaving = fleet.nodes().get((int) (seed % 3) * 2 + 1);
         for (int i = 0; i < 3; i++) {
-            fleet.call(fleet.nodes.get(0), "last-" + i, "/open/x", Optional.empty(), Optional.empty());
+            fleet.call(fleet.nodes().get(0), "last-" + i, "/open/x", Optional.empty(), Optional.empty());
         }
         fleet.run(Duration.ofMillis(30));
         fleet.drain(leaving);
         Instant limit = fleet.now().plus(NO_NEW_WORK_LIMIT);
         fleet.run(Duration.ofSeconds(14));
-        List<History.Execution> late = fleet.history.executions.stream()
+        List<History.Execution> late = fleet.history().executions().stream()
                 .filter(run ->
                         run.node().equals(leaving.id().value()) && run.at().isAfter(limit))
                 .toList();
         if (!late.isEmpty()) {
             throw new AssertionError("new work after three seconds: " + late.get(0));
         }
-        Optional<History.Refused> cut = fleet.history.refusals.stream()
+        Optional<History.Refused> cut = fleet.history().refusals().stream()
                 .filter(refused -> refused.refusal().outcome() == Outcome.UNKNOWN)
                 .findFirst();
         if (cut.isPresent()) {
@@ -103,8 +103,8 @@
     void aPeerThatNeverHearsOfADrainCantSendNewWorkAfterThreeSeconds(
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         SmallFleet fleet = Fleets.started(seed, Faults.NONE, 8, Policies.first(1_000, 500, 1));
-        TestNode deaf = fleet.nodes.get((int) (seed % 8));
-        TestNode leaving = fleet.nodes.get((int) (seed / 8 % 4) * 2 + 1);
+        TestNode deaf = fleet.nodes().get((int) (seed % 8));
+        TestNode leaving = fleet.nodes().get((int) (seed / 8 % 4) * 2 + 1);
         if (leaving == deaf) {
             return;
         }
@@ -125,7 +125,7 @@
             fleet.call(deaf, "call-" + i, path, Optional.empty(), Optional.empty());
             fleet.run(Duration.ofMillis(80));
         }
-        boolean late = fleet.history.executions.stream()
+        boolean late = fleet.history().executions().stream()
                 .anyMatch(run ->
                         run.node().equals(leaving.id().value()) && run.at().isAfter(limit));
         if (late) {
@@ -143,7 +143,7 @@
             fleet.run(Duration.ofMillis(fleet.random().nextInt(40)));
         }
         fleet.run(Duration.ofSeconds(15));
-        for (TestNode node : fleet.nodes) {
+        for (TestNode node : fleet.nodes()) {
             int known = node.state().fleet().members().size();
             if (known != 16) {
                 throw new AssertionError(node.id() + " knows " + known + " of 16 members");
--- a/core/src/test/java/org/heatherhaven/core/proof/PolicyVersionsTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/PolicyVersionsTest.java
@@ -31,7 +31,7 @@
         fleet.setFaults(Faults.HARSH);
         Map<String, Long> highest = new HashMap<>();
         Set<String> reverted = new HashSet<>();
-        fleet.afterEachStep(now -> now.nodes.forEach(node -> {
+        fleet.afterEachStep(now -> now.nodes().forEach(node -> {
             String life = node.id() + "/" + node.state().fleet().self().epoch();
             long version = node.state().policy().policy().version();
             Long before = highest.put(life, version);
@@ -66,7 +66,7 @@
     private static void checkAnswers(SmallFleet fleet) {
         Set<String> committed = fleet.committedPatches();
         int accepted = 0;
-        for (var answers : fleet.patchAnswers.values()) {
+        for (var answers : fleet.patchAnswers().values()) {
             for (var answer : answers) {
                 boolean inForce = committed.contains(answer.patchId());
                 if (answer.verdict() == PatchVerdict.ACCEPTED && !inForce) {
@@ -88,9 +88,9 @@
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         SmallFleet fleet = Fleets.started(seed, Faults.NONE, 12, Policies.first(200, 50, 1));
         fleet.setFaults(new Faults(0.2, 0.1, Duration.ofMillis(300), 0, 0, Duration.ofMillis(10), 0));
-        fleet.patch(fleet.nodes.get((int) (seed % 12)), Policies.teamRate("next", 1, 300, 60, 1));
+        fleet.patch(fleet.nodes().get((int) (seed % 12)), Policies.teamRate("next", 1, 300, 60, 1));
         fleet.run(IN_FORCE_LIMIT);
-        List<String> behind = fleet.nodes.stream()
+        List<String> behind = fleet.nodes().stream()
                 .filter(node -> node.state().policy().policy().version() < 2)
                 .map(node -> node.id().value())
                 .toList();
@@ -103,18 +103,20 @@
     void aWithdrawnKeyStopsWorkingEverywhereWithinSecondsAlsoAtANodeThatIsCutOff(
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         SmallFleet fleet = Fleets.started(seed, Faults.NONE, 5, Policies.first(1_000, 500, 1));
-        TestNode cutOff = fleet.nodes.get((int) (seed % 5));
-        TestNode operator = fleet.nodes.get((int) ((seed + 1) % 5));
+        TestNode cutOff = fleet.nodes().get((int) (seed % 5));
+        TestNode operator = fleet.nodes().get((int) ((seed + 1) % 5));
         Fleets.keepCalling(fleet, Duration.ofSeconds(20), 3);
         fleet.run(Duration.ofSeconds(1));
         fleet.isolate(cutOff, Duration.ofSeconds(30));
         fleet.patch(operator, Policies.withdraw("withdraw", 1, Policies.KEY));
         fleet.run(IN_FORCE_LIMIT.plusMillis(500));
-        int before = fleet.history.admissions.size();
-        int answeredBefore = fleet.history.executions.size();
+        int before = fleet.history().admissions().size();
+        int answeredBefore = fleet.history().executions().size();
         fleet.run(Duration.ofSeconds(10));
-        if (fleet.history.admissions.size() != before || fleet.history.executions.size() != answeredBefore) {
-            throw new AssertionError((fleet.history.admissions.size() - before) + " calls were let in with the key");
+        if (fleet.history().admissions().size() != before
+                || fleet.history().executions().size() != answeredBefore) {
+            throw new AssertionError(
+                    (fleet.history().admissions().size() - before) + " calls were let in with the key");
         }
         if (before == 0) {
             throw new AssertionError("the key never worked, so that nothing was checked");
@@ -124,12 +126,12 @@
     @Example
     void aNodeThatIsCutOffSaysThatItCantKnowWhetherAKeyWasWithdrawn() {
         SmallFleet fleet = Fleets.started(1, Faults.NONE, 5, Policies.first(1_000, 500, 1));
-        TestNode cutOff = fleet.nodes.get(2);
+        TestNode cutOff = fleet.nodes().get(2);
         fleet.isolate(cutOff, Duration.ofSeconds(30));
         fleet.run(IN_FORCE_LIMIT);
         fleet.call(cutOff, "call", "/pricing/x", Policies.key(), Optional.empty());
         fleet.run(Duration.ofMillis(100));
-        Reason reason = fleet.history.refusals.get(0).refusal().reason();
+        Reason reason = fleet.history().refusals().get(0).refusal().reason();
         if (reason != Reason.POLICY_STALE) {
             throw new AssertionError("refused for " + reason);
         }
--- a/core/src/test/java/org/heatherhaven/core/proof/RetryBudgetTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/RetryBudgetTest.java
@@ -50,19 +50,19 @@
         });
         for (int i = 0; i < 8; i++) {
             String name = "root-" + i;
-            fleet.call(fleet.nodes.get(i % 12), name, "/pricing/x", Policies.key(), Optional.empty());
+            fleet.call(fleet.nodes().get(i % 12), name, "/pricing/x", Policies.key(), Optional.empty());
             fleet.run(Duration.ofMillis(40));
         }
         fleet.run(Duration.ofSeconds(6));
         Map<String, Integer> executed = new HashMap<>();
-        fleet.history.executions.forEach(run -> executed.merge(run.rootId(), 1, Integer::sum));
+        fleet.history().executions().forEach(run -> executed.merge(run.rootId(), 1, Integer::sum));
         executed.forEach((root, count) -> {
             int calls = 1 + made.getOrDefault(root, 0);
             if (count > calls + BUDGET) {
                 throw new AssertionError(root + " ran " + count + " times for " + calls + " calls");
             }
         });
-        triesWithRetries += fleet.history.retries > 0 ? 1 : 0;
+        triesWithRetries += fleet.history().retries() > 0 ? 1 : 0;
     }
 
     /** A try whose few calls all went well checks nothing; most must not be such. */
--- a/core/src/test/java/org/heatherhaven/core/proof/TeamRateTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/TeamRateTest.java
@@ -32,12 +32,13 @@
         fleet.setFaults(Faults.HARSH);
         Fleets.disturb(fleet, Duration.ofSeconds(45));
         fleet.run(Duration.ofSeconds(50));
-        double most = highestLevel(fleet.history.admissions, RATE * DRIFT);
+        double most = highestLevel(fleet.history().admissions(), RATE * DRIFT);
         if (most > BURST + 1e-6) {
             throw new AssertionError("a window held " + (most - BURST) + " admissions more than rate and burst");
         }
-        if (fleet.history.admissions.size() < RATE) {
-            throw new AssertionError("hardly anything was admitted: " + fleet.history.admissions.size());
+        if (fleet.history().admissions().size() < RATE) {
+            throw new AssertionError("hardly anything was admitted: "
+                    + fleet.history().admissions().size());
         }
     }
 
@@ -65,7 +66,7 @@
     void aTeamThatStaysWithinItsRateIsNotRefusedWhereverItsCallsEnter(
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(RATE, BURST, 2));
-        TestNode only = fleet.nodes.get((int) (seed % 4));
+        TestNode only = fleet.nodes().get((int) (seed % 4));
         for (int i = 0; i < 450; i++) {
             String submission = "call-" + i;
             fleet.after(
@@ -73,7 +74,7 @@
                     () -> fleet.call(only, submission, "/pricing/x", Policies.key(), Optional.empty()));
         }
         fleet.run(Duration.ofSeconds(12));
-        long refused = fleet.history.refusals.stream()
+        long refused = fleet.history().refusals().stream()
                 .filter(refusal -> refusal.refusal().reason() == Reason.RATE
                         || refusal.refusal().reason() == Reason.QUOTA_UNAVAILABLE)
                 .count();
@@ -87,9 +88,9 @@
         SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(RATE, BURST, 1));
         Fleets.keepCalling(fleet, Duration.ofSeconds(12), 4);
         fleet.run(Duration.ofSeconds(3));
-        fleet.drain(fleet.nodes.get((int) (seed % 4)));
+        fleet.drain(fleet.nodes().get((int) (seed % 4)));
         fleet.run(Duration.ofSeconds(12));
-        double most = highestLevel(fleet.history.admissions, RATE);
+        double most = highestLevel(fleet.history().admissions(), RATE);
         if (most > BURST + 1e-6) {
             throw new AssertionError("a window held " + (most - BURST) + " admissions too many");
         }
@@ -100,11 +101,11 @@
         SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(RATE, BURST, 2));
         Fleets.keepCalling(fleet, Duration.ofSeconds(20), 4);
         fleet.run(Duration.ofSeconds(3));
-        fleet.patch(fleet.nodes.get(1), Policies.teamRate("lower", 1, RATE / 5, BURST / 5, 2));
+        fleet.patch(fleet.nodes().get(1), Policies.teamRate("lower", 1, RATE / 5, BURST / 5, 2));
         fleet.run(Duration.ofSeconds(5));
         Instant inForce = fleet.now();
         fleet.run(Duration.ofSeconds(10));
-        List<History.Admission> after = fleet.history.admissions.stream()
+        List<History.Admission> after = fleet.history().admissions().stream()
                 .filter(admission -> admission.at().isAfter(inForce))
                 .toList();
         double most = highestLevel(after, RATE / 5);
@@ -122,7 +123,7 @@
         fleet.setFaults(new Faults(0.1, 0.2, Duration.ofMillis(2_500), 0, 0, Duration.ofMillis(10), 0));
         Fleets.disturb(fleet, Duration.ofSeconds(35));
         fleet.run(Duration.ofSeconds(40));
-        double most = highestLevel(fleet.history.admissions, RATE / 10);
+        double most = highestLevel(fleet.history().admissions(), RATE / 10);
         if (most > burst + 1e-6) {
             throw new AssertionError("a window held " + (most - burst) + " admissions too many");
         }
