--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/target/GuardedCalls.java
@@ -0,0 +1,107 @@
+package org.heatherhaven.node.target;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.netty.channel.Channel;
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.event.ControlEvent;
+import org.heatherhaven.core.event.Event;
+import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.event.TrafficEvent;
+import org.heatherhaven.core.message.PeerMessage;
+import org.heatherhaven.core.model.Reason;
+import org.heatherhaven.core.model.Refusal;
+import org.heatherhaven.core.model.Signal;
+import org.heatherhaven.node.control.Mailbox;
+import org.heatherhaven.node.peer.GuardDoor;
+import org.heatherhaven.node.peer.OfferedCall;
+import org.heatherhaven.node.wire.OfferHead;
+
+/** All calls that peers have offered and that are not over. */
+public final class GuardedCalls implements GuardDoor {
+
+    private final Mailbox<Event> mailbox;
+    private final Runnable misbehaviour;
+    private final Map<OfferKey, GuardedCall> calls = new ConcurrentHashMap<>();
+
+    /**
+     * Creates the set, empty.
+     *
+     * @param mailbox takes the events
+     * @param misbehaviour told of peers that were turned away
+     */
+    public GuardedCalls(Mailbox<Event> mailbox, Runnable misbehaviour) {
+        this.mailbox = mailbox;
+        this.misbehaviour = misbehaviour;
+    }
+
+    @Override
+    public OfferedCall offered(OfferKey key, OfferHead head, Channel channel) {
+        GuardedCall call = new GuardedCall(key, head, channel, mailbox, () -> calls.remove(key));
+        calls.put(key, call);
+        if (!mailbox.offer(new TrafficEvent.OfferArrived(key, head.call()))) {
+            Refusal refusal = Refusal.notRun(Reason.NODE_OVERLOADED, "the target's node is overloaded");
+            call.refuse(
+                    new Effect.RefuseOffer(key, refusal, Signal.calm(head.call().retries())));
+        }
+        return call;
+    }
+
+    @Override
+    public void closed(long link) {
+        mailbox.put(new TrafficEvent.LinkClosed(link));
+    }
+
+    @Override
+    public void said(PeerMessage message) {
+        mailbox.put(new ControlEvent.PeerSaid(message));
+    }
+
+    @Override
+    public void misbehaved() {
+        misbehaviour.run();
+    }
+
+    /**
+     * Hands a call to the target.
+     *
+     * @param effect which call, and how long it may take
+     * @param target the target
+     */
+    public void run(Effect.RunOffer effect, TargetClient target) {
+        find(effect.key()).ifPresent(call -> call.run(effect, target));
+    }
+
+    /**
+     * Refuses a call.
+     *
+     * @param effect which call, and why
+     */
+    public void refuse(Effect.RefuseOffer effect) {
+        find(effect.key()).ifPresent(call -> call.refuse(effect));
+    }
+
+    /**
+     * Ends the answer of a call.
+     *
+     * @param effect which call, and how it ended
+     */
+    public void finish(Effect.FinishOffer effect) {
+        find(effect.key()).ifPresent(call -> call.finish(effect.whole(), effect.signal()));
+    }
+
+    /**
+     * Cancels a call at the target.
+     *
+     * @param effect which call
+     */
+    public void abort(Effect.AbortRun effect) {
+        find(effect.key()).ifPresent(GuardedCall::abort);
+    }
+
+    private Optional<GuardedCall> find(OfferKey key) {
+        return Optional.ofNullable(calls.get(key));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetSettings.java
@@ -0,0 +1,13 @@
+package org.heatherhaven.node.target;
+
+import java.net.InetSocketAddress;
+
+/**
+ * The target that this node guards.
+ *
+ * @param service service of the target
+ * @param address where it listens
+ * @param slots number of calls it works on at a time
+ * @param connections largest number of connections it accepts
+ */
+public record TargetSettings(String service, InetSocketAddress address, int slots, int connections) {}
