The last retry of a balance stays with the call; a lost attempt no longer takes it along

A call with one retry lent it to its attempt, and a lost attempt returns nothing. Change: an attempt gets half of the balance rounded down; the example that kills a node ends once its loss is known.

--- a/cli/src/test/java/org/heatherhaven/cli/WholePathTest.java
+++ b/cli/src/test/java/org/heatherhaven/cli/WholePathTest.java
@@ -252,5 +252,11 @@
         for (int i = 0; i < 50; i++) {
             answered(fleet.call(bookings, "GET", "/pricing/x", key, null).get());
         }
+        for (Node node : fleet.nodes.subList(0, 3)) {
+            // The next example begins with a fleet that knows of the loss.
+            await(
+                    "loss known",
+                    () -> fleet.status(node).path("members_in_service").asInt() == 3);
+        }
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -46,7 +46,7 @@
                             Reason.NO_TARGET, "no target of " + info.route().service() + " is left"));
             return;
         }
-        int lent = step.rules.retry().handDown(call.retries());
+        int lent = step.rules.retry().lendToAttempt(call.retries());
         EntryCall sent = call.sent(target.get(), lent);
         step.calls = step.calls.with(sent);
         if (sent.attempt() == 1) {
--- a/core/src/main/java/org/heatherhaven/core/logic/retry/RetryMode.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/retry/RetryMode.java
@@ -30,13 +30,23 @@
     };
 
     /**
-     * Part of a balance that goes down with an attempt; what is unspent comes back.
+     * Part of a balance that goes to a call made for a request; what is unspent comes back.
      *
      * @param balance retries left
      * @return retries handed down
      */
     public abstract int handDown(int balance);
 
+    /**
+     * Part of a balance that goes down with an attempt. The last retry stays here: a lost attempt loses its part.
+     *
+     * @param balance retries left
+     * @return retries that go down
+     */
+    public int lendToAttempt(int balance) {
+        return handDown(balance) == 0 ? 0 : balance / 2;
+    }
+
     /**
      * Tells whether another attempt may follow.
      *
