--- a/cli/src/main/java/org/heatherhaven/cli/run/NodeCommand.java
+++ b/cli/src/main/java/org/heatherhaven/cli/run/NodeCommand.java
@@ -1,16 +1,22 @@
 package org.heatherhaven.cli.run;
 
 import java.nio.file.Path;
+import java.util.Optional;
+import java.util.ServiceLoader;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.converters.PathConverter;
 import org.heatherhaven.cli.Command;
 import org.heatherhaven.cli.ExitCode;
+import org.heatherhaven.node.Integration;
+import org.heatherhaven.node.NodeAdapter;
 import org.heatherhaven.node.NodeDaemon;
 import org.heatherhaven.node.settings.NodeSettings;
 import org.heatherhaven.node.settings.NodeSettingsReader;
+import org.heatherhaven.node.settings.TomlTable;
 import sun.misc.Signal;
 
 /** Runs a node until it is told to stop. */
@@ -19,21 +25,28 @@
 
     private static final int TERMINATED = 143;
 
+    private static final String SETTINGS_VARIABLE = "HEATHERHAVEN_SETTINGS";
+
     @Parameter(
             names = "--settings",
-            required = true,
             converter = PathConverter.class,
-            description = "File of settings, TOML")
+            description = "File of settings, TOML; without it the file that " + SETTINGS_VARIABLE + " names")
     private Path settingsFile;
 
+    @Parameter(names = "--adapter", description = "Systems that the node runs among, if not the product's own")
+    private String adapterName = "";
+
     @Parameter(names = "--log", description = "Form of the log: text or json")
     private String logFormat = "text";
 
     @Override
     public ExitCode run() throws InterruptedException {
         Logging.configure(logFormat);
-        NodeSettings settings = NodeSettingsReader.read(settingsFile);
-        NodeDaemon node = new NodeDaemon(settings);
+        TomlTable file = TomlTable.read(settingsPath());
+        Optional<Integration.Factory> integration = adapter().map(adapter -> adapter.read(file));
+        NodeSettings settings = NodeSettingsReader.read(file);
+        NodeDaemon node =
+                integration.map(factory -> new NodeDaemon(settings, factory)).orElseGet(() -> new NodeDaemon(settings));
         AtomicBoolean stopping = new AtomicBoolean();
         Signal.handle(new Signal("TERM"), signal -> {
             if (stopping.compareAndSet(false, true)) {
@@ -47,4 +60,21 @@
         node.stop();
         return ExitCode.OK;
     }
+
+    private Path settingsPath() {
+        return Optional.ofNullable(settingsFile)
+                .or(() -> Optional.ofNullable(System.getenv(SETTINGS_VARIABLE)).map(Path::of))
+                .orElseThrow(() -> new ParameterException("--settings is missing"));
+    }
+
+    private Optional<NodeAdapter> adapter() {
+        if (adapterName.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(ServiceLoader.load(NodeAdapter.class).stream()
+                .map(ServiceLoader.Provider::get)
+                .filter(adapter -> adapter.name().equals(adapterName))
+                .findFirst()
+                .orElseThrow(() -> new ParameterException("no adapter is named " + adapterName)));
+    }
 }
--- a/core/src/main/java/org/heatherhaven/core/effect/Effect.java
+++ b/core/src/main/java/org/heatherhaven/core/effect/Effect.java
@@ -15,6 +15,7 @@
 import org.heatherhaven.core.model.Refusal;
 import org.heatherhaven.core.model.RightId;
 import org.heatherhaven.core.model.Signal;
+import org.heatherhaven.core.model.TargetRef;
 
 /** Something that the node shall do. */
 public sealed interface Effect {
@@ -59,10 +60,11 @@
      * Hand a call to the target.
      *
      * @param key names the offer
+     * @param target the process life that shall run it
      * @param context context id that the target shall send with its own calls
      * @param timeout time left
      */
-    record RunOffer(OfferKey key, String context, Duration timeout) implements Effect {}
+    record RunOffer(OfferKey key, TargetRef target, String context, Duration timeout) implements Effect {}
 
     /**
      * Refuse an offered call.
@@ -178,6 +180,24 @@
      */
     record CountRetry(Reason reason) implements Effect {}
 
+    /** How a report of the target was taken. */
+    enum ReportVerdict {
+        /** It holds. */
+        TAKEN,
+        /** A newer one holds. */
+        OUTDATED,
+        /** It names no service that is known. */
+        UNKNOWN_SERVICE
+    }
+
+    /**
+     * Acknowledge a report of the target; what it says is in force.
+     *
+     * @param ticket number of the report
+     * @param verdict how it was taken
+     */
+    record AcknowledgeTarget(long ticket, ReportVerdict verdict) implements Effect {}
+
     /** Everything is finished and handed over; the process may end. */
     record Leave() implements Effect {}
 }
--- a/core/src/main/java/org/heatherhaven/core/event/ControlEvent.java
+++ b/core/src/main/java/org/heatherhaven/core/event/ControlEvent.java
@@ -2,6 +2,7 @@
 
 import org.heatherhaven.core.message.PeerMessage;
 import org.heatherhaven.core.model.PolicyPatch;
+import org.heatherhaven.core.model.TargetReport;
 
 /** Time, peers and operators. */
 public sealed interface ControlEvent extends Event {
@@ -30,6 +31,22 @@
      */
     record LinksClosed(long floor) implements ControlEvent {}
 
+    /**
+     * The target reported.
+     *
+     * @param report what it said of itself
+     * @param ticket number under which the report is acknowledged
+     */
+    record TargetReported(TargetReport report, long ticket) implements ControlEvent {}
+
+    /**
+     * The target said that it leaves for good.
+     *
+     * @param instance identifier of the process life
+     * @param ticket number under which the word is acknowledged
+     */
+    record TargetLeft(String instance, long ticket) implements ControlEvent {}
+
     /** This node shall take no new work, finish what it has, and leave. */
     record DrainAsked() implements ControlEvent {}
 }
--- a/core/src/main/java/org/heatherhaven/core/event/TrafficEvent.java
+++ b/core/src/main/java/org/heatherhaven/core/event/TrafficEvent.java
@@ -33,6 +33,8 @@
     /**
      * What a caller asks for.
      *
+     * @param id identifier that the caller gave the request
+     * @param host host that the caller named, empty if none
      * @param method HTTP method
      * @param path path with query
      * @param headers end-to-end headers without credentials
@@ -42,6 +44,8 @@
      * @param idempotencyKey key of an unrepeatable request
      */
     record CallRequest(
+            Optional<String> id,
+            String host,
             String method,
             String path,
             List<Header> headers,
@@ -115,8 +119,12 @@
     enum TargetResult {
         /** It answered, and the answer was passed on. */
         ANSWERED,
-        /** It answered that it is overloaded. */
+        /** It answered that it is overloaded, and did not say whether it ran the call. */
         OVERLOADED,
+        /** It answered that it did not run the call. */
+        REFUSED,
+        /** Another process has its address, and did not run the call. */
+        REPLACED,
         /** The connection could not be made; nothing was sent. */
         NOT_SENT,
         /** The answer broke off or never came. */
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
@@ -16,6 +16,7 @@
 import org.heatherhaven.core.model.Reason;
 import org.heatherhaven.core.model.Refusal;
 import org.heatherhaven.core.model.Signal;
+import org.heatherhaven.core.model.TargetRef;
 import org.pcollections.PMap;
 
 /** Reducer of the calls at this node's target. */
@@ -56,7 +57,10 @@
         ClassKey classKey = classOf(head);
         GuardState next = state.withDemand(state.demand().arrived(classKey));
         if (!now.isBefore(state.refuseFrom())) {
-            return refuse(next, call, Reason.DRAINING, "the target is leaving", out);
+            return refuse(next, call, Reason.DRAINING, "the node of the target is leaving", out);
+        }
+        if (!state.target().takesCalls(now)) {
+            return refuse(next, call, Reason.NO_TARGET, "there is no target here that takes calls", out);
         }
         if (!state.mode().limited()) {
             return run(next, call, now, out);
@@ -114,6 +118,14 @@
             case OVERLOADED ->
                 out.add(new Effect.RefuseOffer(
                         key, Refusal.unknown(Reason.TARGET_OVERLOADED, "the target said it is overloaded"), signal));
+            case REFUSED ->
+                out.add(new Effect.RefuseOffer(
+                        key, Refusal.notRun(Reason.TARGET_OVERLOADED, "the target had no room for the call"), signal));
+            case REPLACED ->
+                out.add(new Effect.RefuseOffer(
+                        key,
+                        Refusal.notRun(Reason.TARGET_REPLACED, "another process has the target's address"),
+                        signal));
             case NOT_SENT ->
                 out.add(new Effect.RefuseOffer(
                         key, Refusal.notRun(Reason.TARGET_FAILED, "the target took no connection"), signal));
@@ -236,7 +248,9 @@
 
     private static GuardState dispatch(GuardState state, Instant now, Outbox out) {
         GuardState next = state;
-        while (!next.queue().isEmpty() && next.running().size() < (int) Math.max(LIMIT_MIN, next.limit())) {
+        while (!next.queue().isEmpty()
+                && next.target().ref().isPresent()
+                && next.running().size() < (int) Math.max(LIMIT_MIN, next.limit())) {
             Waiting best = next.mode().ordered()
                     ? next.queue().stream().min(order(next)).orElseThrow()
                     : next.queue().get(0);
@@ -261,7 +275,8 @@
                 + Long.toString(call.key().stream(), Character.MAX_RADIX) + "-"
                 + Long.toUnsignedString(Hashes.of(call.head().requestId() + now), Character.MAX_RADIX);
         Running running = new Running(call, context, now, call.head().retries(), Signal.COHORTS, 0);
-        out.add(new Effect.RunOffer(call.key(), context, Duration.between(now, call.deadline())));
+        TargetRef target = state.target().ref().orElseThrow();
+        out.add(new Effect.RunOffer(call.key(), target, context, Duration.between(now, call.deadline())));
         String team = call.head().team();
         return state.withRunning(state.running().plus(call.key(), running))
                 .withContexts(state.contexts().plus(context, call.key()))
@@ -370,4 +385,30 @@
     public static GuardState drain(GuardState state, Instant from) {
         return state.withRefuseFrom(from);
     }
+
+    /**
+     * Takes calls for a process life of the target from now on.
+     *
+     * @param state the state
+     * @param target how it is reached
+     * @param slots calls that it works on at a time
+     * @return the new state
+     */
+    public static GuardState targetIs(GuardState state, TargetRef target, int slots) {
+        boolean same = state.target().ref().filter(target::equals).isPresent();
+        return same && state.slots() == slots
+                ? state.withTarget(GuardedTarget.of(target))
+                : state.replaced(target, slots);
+    }
+
+    /**
+     * Stops taking calls for the target, which leaves or is gone.
+     *
+     * @param state the state
+     * @param from when new calls are refused
+     * @return the new state
+     */
+    public static GuardState targetLeaves(GuardState state, Instant from) {
+        return state.withTarget(state.target().leaving(from));
+    }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardState.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 
 import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.model.TargetRef;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.pcollections.PVector;
@@ -25,6 +26,7 @@
  * @param keeps what is shed at present
  * @param windowEndsAt when the current window ends
  * @param refuseFrom when new calls are refused because the node is leaving; far future if it is not
+ * @param target the process life that runs the calls
  */
 public record GuardState(
         AdmissionMode mode,
@@ -39,7 +41,8 @@
         Demand demand,
         KeepTable keeps,
         Instant windowEndsAt,
-        Instant refuseFrom) {
+        Instant refuseFrom,
+        GuardedTarget target) {
 
     /** Part of the slots that a cold target starts with. */
     private static final double COLD_PART = 0.25;
@@ -58,7 +61,7 @@
         return new GuardState(
                 mode,
                 slots,
-                Math.min(slots, Math.max(SMALLEST_START, slots * COLD_PART)),
+                coldLimit(slots),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 TreePVector.empty(),
@@ -68,7 +71,8 @@
                 Demand.NONE,
                 KeepTable.ALL,
                 now,
-                Instant.MAX);
+                Instant.MAX,
+                GuardedTarget.NONE);
     }
 
     /**
@@ -103,7 +107,8 @@
                 demand,
                 keeps,
                 windowEndsAt,
-                refuseFrom);
+                refuseFrom,
+                target);
     }
 
     GuardState withRunning(PMap<OfferKey, Running> next) {
@@ -120,7 +125,8 @@
                 demand,
                 keeps,
                 windowEndsAt,
-                refuseFrom);
+                refuseFrom,
+                target);
     }
 
     GuardState withContexts(PMap<String, OfferKey> next) {
@@ -137,7 +143,8 @@
                 demand,
                 keeps,
                 windowEndsAt,
-                refuseFrom);
+                refuseFrom,
+                target);
     }
 
     GuardState withQueue(PVector<Waiting> next) {
@@ -154,7 +161,8 @@
                 demand,
                 keeps,
                 windowEndsAt,
-                refuseFrom);
+                refuseFrom,
+                target);
     }
 
     GuardState withServed(PMap<String, Double> next) {
@@ -171,7 +179,8 @@
                 demand,
                 keeps,
                 windowEndsAt,
-                refuseFrom);
+                refuseFrom,
+                target);
     }
 
     GuardState withServiceTime(Duration next) {
@@ -188,7 +197,8 @@
                 demand,
                 keeps,
                 windowEndsAt,
-                refuseFrom);
+                refuseFrom,
+                target);
     }
 
     GuardState withDemand(Demand next) {
@@ -205,7 +215,8 @@
                 next,
                 keeps,
                 windowEndsAt,
-                refuseFrom);
+                refuseFrom,
+                target);
     }
 
     GuardState withWindow(double nextCapacity, KeepTable nextKeeps, Instant endsAt) {
@@ -222,7 +233,8 @@
                 Demand.NONE,
                 nextKeeps,
                 endsAt,
-                refuseFrom);
+                refuseFrom,
+                target);
     }
 
     GuardState withRefuseFrom(Instant at) {
@@ -239,6 +251,48 @@
                 demand,
                 keeps,
                 windowEndsAt,
-                at);
+                at,
+                target);
+    }
+
+    GuardState withTarget(GuardedTarget next) {
+        return new GuardState(
+                mode,
+                slots,
+                limit,
+                running,
+                contexts,
+                queue,
+                served,
+                serviceTime,
+                capacity,
+                demand,
+                keeps,
+                windowEndsAt,
+                refuseFrom,
+                next);
+    }
+
+    /** Starts afresh with another process life of the target; what the one before works on goes on. */
+    GuardState replaced(TargetRef next, int nextSlots) {
+        return new GuardState(
+                mode,
+                nextSlots,
+                coldLimit(nextSlots),
+                running,
+                contexts,
+                queue,
+                served,
+                serviceTime,
+                capacity,
+                demand,
+                keeps,
+                windowEndsAt,
+                refuseFrom,
+                GuardedTarget.of(next));
+    }
+
+    private static double coldLimit(int slots) {
+        return Math.min(slots, Math.max(SMALLEST_START, slots * COLD_PART));
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/call/CallInfo.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/call/CallInfo.java
@@ -17,6 +17,7 @@
  * @param rootId identifier of the root request
  * @param request what the caller asked for
  * @param route policy route
+ * @param service service that shall run it
  * @param team team that it runs for, empty on open routes
  * @param importance order of shedding, inherited from the root request
  * @param depth 0 for a root request
@@ -33,6 +34,7 @@
         String rootId,
         CallRequest request,
         Route route,
+        String service,
         String team,
         Importance importance,
         int depth,
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
@@ -354,6 +354,27 @@
         return probeNeighbours(addNews(state.withMember(self), self), rumours, now, out);
     }
 
+    /**
+     * Changes the service that this node stands for and tells it at once.
+     *
+     * @param state the state
+     * @param service service of the node's target, empty while it has none
+     * @param slots calls that the target works on at a time
+     * @param rumours what travels with the news
+     * @param now the time
+     * @param out effects
+     * @return the new state
+     */
+    public static MembershipState announceTarget(
+            MembershipState state, String service, int slots, Rumours rumours, Instant now, Outbox out) {
+        Member self = state.self();
+        if (self.service().equals(service) && self.slots() == slots) {
+            return state;
+        }
+        Member changed = self.withTarget(service, slots);
+        return probeNeighbours(addNews(state.withMember(changed), changed), rumours, now, out);
+    }
+
     private static MembershipState learn(MembershipState state, Member account, Instant now) {
         MembershipState next = learnQuietly(state, account, now);
         boolean about = account.id().equals(state.self().id());
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -31,27 +31,16 @@
             return;
         }
         Optional<NodeId> target = RoutingLogic.choose(
-                step.routing,
-                step.rules.routing(),
-                step.fleet,
-                info.route().service(),
-                call.tried(),
-                step.random(),
-                step.now);
+                step.routing, step.rules.routing(), step.fleet, info.service(), call.tried(), step.random(), step.now);
         if (target.isEmpty()) {
-            refuse(
-                    step,
-                    call,
-                    Refusal.notRun(
-                            Reason.NO_TARGET, "no target of " + info.route().service() + " is left"));
+            refuse(step, call, Refusal.notRun(Reason.NO_TARGET, "no target of " + info.service() + " is left"));
             return;
         }
         int lent = step.rules.retry().lendToAttempt(call.retries());
         EntryCall sent = call.sent(target.get(), lent);
         step.calls = step.calls.with(sent);
         if (sent.attempt() == 1) {
-            step.calls =
-                    step.calls.withRatio(step.calls.ratio().called(info.route().service()));
+            step.calls = step.calls.withRatio(step.calls.ratio().called(info.service(), step.rules.retryLimits()));
         }
         step.routing = RoutingLogic.sent(step.routing, target.get(), step.now);
         step.out.add(new Effect.ForwardCall(info.call(), sent.attempt(), target.get(), head(step, sent)));
@@ -62,10 +51,12 @@
         return new CallHead(
                 info.requestId(),
                 info.rootId(),
+                info.request().host(),
                 info.request().method(),
                 info.request().path(),
                 info.request().headers(),
-                info.route().service(),
+                step.origin(),
+                info.service(),
                 info.route().name(),
                 info.team(),
                 info.importance(),
@@ -112,11 +103,11 @@
     private static void retryOr(Step step, EntryCall ended, Refusal refusal, boolean resendable) {
         EntryCall call = refusal.outcome() == Outcome.NOT_RUN ? ended : ended.uncertain();
         CallInfo info = call.info();
-        String service = info.route().service();
+        String service = info.service();
         boolean harmless = refusal.outcome() == Outcome.NOT_RUN || !info.unrepeatable();
         boolean sensible = resendable && harmless && refusal.reason().retryable() && step.now.isBefore(info.deadline());
         boolean budgeted = step.rules.retry().allows(call.attempt(), call.retries());
-        if (!sensible || !budgeted || !step.calls.ratio().allows(service)) {
+        if (!sensible || !budgeted || !step.calls.ratio().allows(service, step.rules.retryLimits())) {
             refuse(step, call, refusal);
             return;
         }
@@ -126,7 +117,7 @@
                 "attempt " + call.attempt() + " ended with " + refusal.reason().label() + ", " + call.retries()
                         + " retries left",
                 "retry");
-        step.calls = step.calls.withRatio(step.calls.ratio().retried(service));
+        step.calls = step.calls.withRatio(step.calls.ratio().retried(service, step.rules.retryLimits()));
         step.out.add(new Effect.CountRetry(refusal.reason()));
         send(step, call.paidForRetry());
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/CallFlow.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/CallFlow.java
@@ -23,6 +23,7 @@
 import org.heatherhaven.core.logic.quota.Borrowing;
 import org.heatherhaven.core.logic.quota.QuotaState.DeniedCall;
 import org.heatherhaven.core.logic.routing.RoutingLogic;
+import org.heatherhaven.core.model.Importance;
 import org.heatherhaven.core.model.Outcome;
 import org.heatherhaven.core.model.Reason;
 import org.heatherhaven.core.model.Refusal;
@@ -38,11 +39,19 @@
     private CallFlow() {}
 
     static void arrived(Step step, CallArrived event) {
-        String requestId = requestId(step, event.call());
-        Optional<Route> route = step.policy.policy().routeOf(event.request().path());
+        String requestId = event.request().id().orElseGet(() -> requestId(step, event.call()));
+        Optional<Route> route = step.policy
+                .policy()
+                .routeOf(event.request().host(), event.request().path());
         if (step.thawing) {
             // It may have lain in a buffer while this process was paused, beyond the time in which callers send again.
             refuseUnborn(step, event.call(), requestId, Refusal.notRun(Reason.NODE_OVERLOADED, "this node was paused"));
+        } else if (step.policy.policy().version() == 0) {
+            refuseUnborn(
+                    step,
+                    event.call(),
+                    requestId,
+                    Refusal.notRun(Reason.POLICY_UNKNOWN, "no policy is known here yet"));
         } else if (route.isEmpty()) {
             refuseUnborn(step, event.call(), requestId, Refusal.notRun(Reason.NO_ROUTE, "no route has this path"));
         } else if (step.calls.calls().size() >= step.rules.maxCalls()) {
@@ -81,6 +90,7 @@
                 .filter(key -> !route.open())
                 .flatMap(key -> step.policy.policy().teamOf(key));
         String name = team.map(Team::name).orElse(NO_TEAM);
+        Importance importance = team.flatMap(Team::importance).orElse(route.importance());
         CallInfo info = new CallInfo(
                 event.call(),
                 event.door(),
@@ -88,8 +98,9 @@
                 requestId,
                 event.request(),
                 route,
+                route.serviceAt(step.random().nextDouble()),
                 name,
-                route.importance(),
+                importance,
                 0,
                 step.now,
                 step.now.plus(shorter(event.request().timeout().orElse(route.timeout()), route.timeout())),
@@ -111,7 +122,7 @@
                                     + " requests, and this is number " + cohort));
             return;
         }
-        if (team.isEmpty()) {
+        if (team.filter(Team::limited).isEmpty()) {
             proceed(step, call);
             return;
         }
@@ -120,7 +131,8 @@
 
     private static boolean leaving(Step step) {
         return step.drainingSince
-                .filter(since -> !step.now.isBefore(since.plus(step.rules.drainGrace())))
+                .filter(since ->
+                        !step.now.isBefore(since.plus(step.rules.drain().grace())))
                 .isPresent();
     }
 
@@ -139,10 +151,10 @@
 
     /** Cut off from every peer and from the platform; a node that never knew another can't miss a withdrawal. */
     static boolean isolated(Step step) {
-        Instant limit = step.now.minus(step.rules.isolationLimit());
-        return step.fleet.members().size() > 1
-                && step.fleet.heardAt().isBefore(limit)
-                && step.policy.confirmedAt().isBefore(limit);
+        Instant limit = step.now.minus(step.rules.keyTrust().limit());
+        boolean vouched = step.rules.keyTrust().peersVouch()
+                && (step.fleet.members().size() <= 1 || !step.fleet.heardAt().isBefore(limit));
+        return !vouched && step.policy.confirmedAt().isBefore(limit);
     }
 
     private static Optional<String> permitKey(Route route, String team, CallRequest request) {
@@ -181,6 +193,7 @@
                 above.head().rootId(),
                 event.request(),
                 route,
+                route.serviceAt(step.random().nextDouble()),
                 above.head().team(),
                 above.head().importance(),
                 above.head().depth() + 1,
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Draining.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Draining.java
@@ -22,7 +22,8 @@
             return;
         }
         step.drainingSince = Optional.of(step.now);
-        step.guard = GuardLogic.drain(step.guard, step.now.plus(step.rules.drainGrace()));
+        step.guard =
+                GuardLogic.drain(step.guard, step.now.plus(step.rules.drain().grace()));
         step.fleet =
                 MembershipLogic.announceSelf(step.fleet, MemberStatus.DRAINING, step.rumours(), step.now, step.out);
         step.note("node", "drain", step.guard.inFlight() + " calls in flight", "draining");
@@ -30,14 +31,14 @@
 
     static void tick(Step step) {
         Instant since = step.drainingSince.orElse(step.now);
-        if (step.now.isBefore(since.plus(step.rules.drainGrace()))) {
+        if (step.now.isBefore(since.plus(step.rules.drain().grace()))) {
             return;
         }
         HandOvers.send(step);
         boolean idle = step.guard.inFlight() == 0 && step.calls.calls().isEmpty();
-        Instant handOverEnd = since.plus(step.rules.drainGrace()).plus(HAND_OVER_LIMIT);
+        Instant handOverEnd = since.plus(step.rules.drain().grace()).plus(HAND_OVER_LIMIT);
         boolean handedOver = !HandOvers.pending(step) || !step.now.isBefore(handOverEnd);
-        boolean overdue = !step.now.isBefore(since.plus(step.rules.drainLimit()));
+        boolean overdue = !step.now.isBefore(since.plus(step.rules.drain().limit()));
         if ((idle && handedOver) || overdue) {
             leave(step, idle);
         }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
@@ -10,6 +10,8 @@
 import org.heatherhaven.core.event.ControlEvent.LinksClosed;
 import org.heatherhaven.core.event.ControlEvent.PatchSubmitted;
 import org.heatherhaven.core.event.ControlEvent.PeerSaid;
+import org.heatherhaven.core.event.ControlEvent.TargetLeft;
+import org.heatherhaven.core.event.ControlEvent.TargetReported;
 import org.heatherhaven.core.event.Event;
 import org.heatherhaven.core.event.PlatformEvent;
 import org.heatherhaven.core.event.PlatformEvent.GrantAbsent;
@@ -158,6 +160,10 @@
         } else if (event instanceof LinksClosed closed) {
             step.linkFloor = Math.max(step.linkFloor, closed.floor());
             step.thawing = false;
+        } else if (event instanceof TargetReported reported) {
+            TargetTalk.reported(step, reported);
+        } else if (event instanceof TargetLeft left) {
+            TargetTalk.left(step, left);
         } else if (event instanceof DrainAsked) {
             Draining.begin(step);
         }
@@ -171,6 +177,7 @@
         step.rights = RightsLogic.tick(step.rights, step.fleet, step.now, step.out);
         Spreading.tickHoldings(step);
         step.pressure = step.pressure.prune(step.now);
+        TargetTalk.tick(step);
         step.guard = GuardLogic.tick(step.guard, step.now, step.out);
         CallFlow.tick(step);
         if (step.fleet.self().status() == MemberStatus.DRAINING) {
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeRules.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeRules.java
@@ -4,6 +4,7 @@
 
 import org.heatherhaven.core.logic.admission.AdmissionMode;
 import org.heatherhaven.core.logic.once.OnceLogic.LedgerLimits;
+import org.heatherhaven.core.logic.retry.RetryLimits;
 import org.heatherhaven.core.logic.retry.RetryMode;
 import org.heatherhaven.core.logic.routing.RoutingMode;
 
@@ -13,24 +14,26 @@
  * @param admission way of guarding the target
  * @param routing way of choosing targets
  * @param retry way of retrying
+ * @param retryLimits this node's part of each service's retry budget
  * @param ledger sizes of the idempotency ledgers
  * @param maxCalls calls under way at which new ones are refused
  * @param maxChildren calls that a target may make for one request
- * @param isolationLimit silence of all peers and the platform after which keys are no longer trusted
- * @param drainGrace time from the start of a drain until new calls are refused, so that peers hear of it first
- * @param drainLimit time after which a draining node leaves with work unfinished
+ * @param keyTrust when keys are no longer trusted
+ * @param drain times of a planned stop
+ * @param homeService service named as the origin of calls until the target reports one; empty if there is none
  * @param seed start of the random choices
  */
 public record NodeRules(
         AdmissionMode admission,
         RoutingMode routing,
         RetryMode retry,
+        RetryLimits retryLimits,
         LedgerLimits ledger,
         int maxCalls,
         int maxChildren,
-        Duration isolationLimit,
-        Duration drainGrace,
-        Duration drainLimit,
+        KeyTrust keyTrust,
+        DrainTimes drain,
+        String homeService,
         long seed) {
 
     private static final Duration LEDGER_MEMORY = Duration.ofMinutes(5);
@@ -41,6 +44,22 @@
     private static final Duration DRAIN_GRACE = Duration.ofMillis(1_500);
     private static final Duration DRAIN_LIMIT = Duration.ofSeconds(30);
 
+    /**
+     * When keys are no longer trusted, because one may have been withdrawn unnoticed.
+     *
+     * @param limit age of the platform's word that the policy in force is the newest
+     * @param peersVouch true if a node that still hears peers goes on beyond the limit
+     */
+    public record KeyTrust(Duration limit, boolean peersVouch) {}
+
+    /**
+     * Times of a planned stop.
+     *
+     * @param grace time from its start until new calls are refused, so that peers and callers hear of it first
+     * @param limit time after which the node leaves with work unfinished
+     */
+    public record DrainTimes(Duration grace, Duration limit) {}
+
     /**
      * The defaults.
      *
@@ -52,12 +71,13 @@
                 AdmissionMode.FAIR_SHED,
                 RoutingMode.TWO_CHOICES,
                 RetryMode.BUDGET,
+                RetryLimits.DEFAULT,
                 new LedgerLimits(LEDGER_MEMORY, LEDGER_KEYS),
                 MAX_CALLS,
                 MAX_CHILDREN,
-                ISOLATION_LIMIT,
-                DRAIN_GRACE,
-                DRAIN_LIMIT,
+                new KeyTrust(ISOLATION_LIMIT, true),
+                new DrainTimes(DRAIN_GRACE, DRAIN_LIMIT),
+                "",
                 seed);
     }
 
@@ -74,23 +94,68 @@
                 nextAdmission,
                 nextRouting,
                 nextRetry,
+                retryLimits,
                 ledger,
                 maxCalls,
                 maxChildren,
-                isolationLimit,
-                drainGrace,
-                drainLimit,
+                keyTrust,
+                drain,
+                homeService,
                 seed);
     }
 
     /**
      * Copies these rules with other limits of the idempotency ledgers.
      *
-     * @param next the limits
+     * @param next limits
      * @return the changed rules
      */
     public NodeRules withLedger(LedgerLimits next) {
         return new NodeRules(
-                admission, routing, retry, next, maxCalls, maxChildren, isolationLimit, drainGrace, drainLimit, seed);
+                admission,
+                routing,
+                retry,
+                retryLimits,
+                next,
+                maxCalls,
+                maxChildren,
+                keyTrust,
+                drain,
+                homeService,
+                seed);
+    }
+
+    /**
+     * Copies these rules with other limits of retries, keys and planned stops.
+     *
+     * @param nextRetryLimits this node's part of each service's retry budget
+     * @param nextKeyTrust when keys are no longer trusted
+     * @param nextDrain times of a planned stop
+     * @return the changed rules
+     */
+    public NodeRules withLimits(RetryLimits nextRetryLimits, KeyTrust nextKeyTrust, DrainTimes nextDrain) {
+        return new NodeRules(
+                admission,
+                routing,
+                retry,
+                nextRetryLimits,
+                ledger,
+                maxCalls,
+                maxChildren,
+                nextKeyTrust,
+                nextDrain,
+                homeService,
+                seed);
+    }
+
+    /**
+     * Copies these rules with another home service.
+     *
+     * @param next service named as the origin of calls until the target reports one
+     * @return the changed rules
+     */
+    public NodeRules withHomeService(String next) {
+        return new NodeRules(
+                admission, routing, retry, retryLimits, ledger, maxCalls, maxChildren, keyTrust, drain, next, seed);
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.Optional;
 
+import org.heatherhaven.core.logic.admission.GuardLogic;
 import org.heatherhaven.core.logic.admission.GuardState;
 import org.heatherhaven.core.logic.call.CallsState;
 import org.heatherhaven.core.logic.membership.MembershipState;
@@ -10,10 +11,12 @@
 import org.heatherhaven.core.logic.policy.PolicyState;
 import org.heatherhaven.core.logic.pressure.PressureState;
 import org.heatherhaven.core.logic.quota.QuotaState;
+import org.heatherhaven.core.logic.registration.RegistrationState;
 import org.heatherhaven.core.logic.rights.RightsState;
 import org.heatherhaven.core.logic.routing.RoutingState;
 import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.RightId;
+import org.heatherhaven.core.model.TargetRef;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
@@ -26,6 +29,7 @@
  * @param routing figures of targets
  * @param pressure overload behind routes
  * @param guard calls at the node's own target
+ * @param registration what the target said of itself
  * @param calls calls that entered here
  * @param rights exclusive rights
  * @param quota tokens lent and borrowed
@@ -45,6 +49,7 @@
         RoutingState routing,
         PressureState pressure,
         GuardState guard,
+        RegistrationState registration,
         CallsState calls,
         RightsState rights,
         QuotaState quota,
@@ -66,13 +71,28 @@
      * @return the state
      */
     public static NodeState start(NodeRules rules, Member self, Instant now) {
+        return start(rules, self, Optional.of(new TargetRef("", "")), now);
+    }
+
+    /**
+     * The state of a node that has just started.
+     *
+     * @param rules settings of its decisions
+     * @param self the node as the fleet shall know it
+     * @param target its target; absent if the target will report
+     * @param now the time
+     * @return the state
+     */
+    public static NodeState start(NodeRules rules, Member self, Optional<TargetRef> target, Instant now) {
+        GuardState guard = GuardState.start(rules.admission(), self.slots(), now);
         return new NodeState(
                 rules,
                 PolicyState.start(now),
                 MembershipState.start(self, now),
                 RoutingState.EMPTY,
                 PressureState.EMPTY,
-                GuardState.start(rules.admission(), self.slots(), now),
+                target.map(ref -> GuardLogic.targetIs(guard, ref, self.slots())).orElse(guard),
+                RegistrationState.NONE,
                 CallsState.EMPTY,
                 RightsState.start(self.owner(), now),
                 QuotaState.start(now),
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Permits.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Permits.java
@@ -49,8 +49,7 @@
     }
 
     private static RightId slotOf(EntryCall call) {
-        return OnceLogic.slotOf(
-                call.info().route().service(), call.info().permitKey().orElseThrow());
+        return OnceLogic.slotOf(call.info().service(), call.info().permitKey().orElseThrow());
     }
 
     static void answered(Step step, PermitAnswer answer) {
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
@@ -17,6 +17,7 @@
 import org.heatherhaven.core.message.PolicyPage;
 import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.PolicySnapshot;
 import org.heatherhaven.core.model.PolicyVersion;
 import org.heatherhaven.core.model.RightId;
 import org.heatherhaven.core.model.Route;
@@ -40,20 +41,20 @@
         List<PolicyVersion> fresh = step.policy.recent().stream()
                 .filter(version -> version.version() > versionBefore)
                 .toList();
-        if (!fresh.isEmpty() && versionBefore > 0) {
-            for (NodeId neighbour : step.fleet.neighbours()) {
-                step.out.add(new Effect.Send(neighbour, new PolicyPage(Optional.empty(), fresh)));
-            }
+        Optional<PolicySnapshot> whole = fresh.isEmpty() ? Optional.of(policy.toSnapshot()) : Optional.empty();
+        for (NodeId neighbour : step.fleet.neighbours()) {
+            step.out.add(new Effect.Send(neighbour, new PolicyPage(whole, fresh)));
         }
         for (Team team : policy.teams().values()) {
-            if (!before.policy().teams().containsKey(team.name())) {
+            if (team.limited() && !before.policy().teams().containsKey(team.name())) {
                 prepare(step, RightId.Kind.SHARE, team.name(), team.shares());
             }
         }
         for (Route route : policy.routes().values()) {
             boolean known = before.policy().routes().containsKey(route.name());
-            if (route.unrepeatable() && !known) {
-                prepare(step, RightId.Kind.SLOT, route.service(), OnceLogic.SLOTS_PER_SERVICE);
+            if (route.unrepeatable() && !known && step.rules.ledger().prepared()) {
+                route.services()
+                        .forEach(part -> prepare(step, RightId.Kind.SLOT, part.service(), OnceLogic.SLOTS_PER_SERVICE));
             }
         }
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
@@ -17,11 +17,13 @@
 import org.heatherhaven.core.logic.pressure.PressureState;
 import org.heatherhaven.core.logic.quota.Borrowing;
 import org.heatherhaven.core.logic.quota.QuotaState;
+import org.heatherhaven.core.logic.registration.RegistrationState;
 import org.heatherhaven.core.logic.rights.RightsState;
 import org.heatherhaven.core.logic.routing.RoutingState;
 import org.heatherhaven.core.message.Rumours;
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.RightId;
+import org.heatherhaven.core.model.TargetReport;
 import org.pcollections.PMap;
 
 /** The parts of a node's state while one event is worked on; never leaves the step. */
@@ -35,6 +37,7 @@
     RoutingState routing;
     PressureState pressure;
     GuardState guard;
+    RegistrationState registration;
     CallsState calls;
     RightsState rights;
     QuotaState quota;
@@ -54,6 +57,7 @@
         this.routing = state.routing();
         this.pressure = state.pressure();
         this.guard = state.guard();
+        this.registration = state.registration();
         this.calls = state.calls();
         this.rights = state.rights();
         this.quota = state.quota();
@@ -74,6 +78,7 @@
                 routing,
                 pressure,
                 guard,
+                registration,
                 calls,
                 rights,
                 quota,
@@ -91,6 +96,11 @@
         return fleet.self().id();
     }
 
+    /** Service beside whose target calls enter here; a target that leaves still stands for it. */
+    String origin() {
+        return registration.report().map(TargetReport::service).orElse(rules.homeService());
+    }
+
     SplittableRandom random() {
         return new SplittableRandom(rules.seed() + steps);
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/once/OnceLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/once/OnceLogic.java
@@ -89,8 +89,20 @@
      *
      * @param memory how long a key is remembered; callers send a request again only within this time
      * @param keys how many keys a slot remembers at most
+     * @param prepared true if ledgers are opened with the policy, false if with the first key
      */
-    public record LedgerLimits(Duration memory, int keys) {}
+    public record LedgerLimits(Duration memory, int keys, boolean prepared) {
+
+        /**
+         * Sizes of ledgers that are opened with the policy.
+         *
+         * @param memory how long a key is remembered
+         * @param keys how many keys a slot remembers at most
+         */
+        public LedgerLimits(Duration memory, int keys) {
+            this(memory, keys, true);
+        }
+    }
 
     private static Verdict judge(Ledger ledger, LedgerLimits limits, PermitAsk ask, Instant now) {
         Ledger.Entry known = ledger.entries().get(ask.key());
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/PatchRules.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PatchRules.java
@@ -12,6 +12,7 @@
 import org.heatherhaven.core.model.PolicyPatch;
 import org.heatherhaven.core.model.Route;
 import org.heatherhaven.core.model.Team;
+import org.heatherhaven.core.model.WeightedService;
 
 /** What a patch must satisfy; the same rules hold where it is accepted and where it is applied. */
 final class PatchRules {
@@ -67,7 +68,11 @@
                 NAME.matcher(route.name()).matches(),
                 Code.BAD_VALUE,
                 "route name '" + route.name() + "' is not a name");
-        require(NAME.matcher(route.service()).matches(), Code.BAD_VALUE, "service of route " + route.name());
+        require(!route.services().isEmpty(), Code.BAD_VALUE, "route " + route.name() + " leads to no service");
+        for (WeightedService part : route.services()) {
+            require(NAME.matcher(part.service()).matches(), Code.BAD_VALUE, "service of route " + route.name());
+            require(part.weight() > 0, Code.BAD_VALUE, "weight of " + part.service() + " in route " + route.name());
+        }
         require(PATH.matcher(route.path()).matches(), Code.BAD_VALUE, "path of route " + route.name());
         require(
                 route.timeout().toMillis() > 0 && route.timeout().compareTo(MAX_TIMEOUT) <= 0,
@@ -105,9 +110,9 @@
         Map<String, Route> routes = new HashMap<>(policy.routes());
         patch.removedRoutes().forEach(routes::remove);
         patch.routes().forEach(route -> routes.put(route.name(), route));
-        Map<String, String> owners = new HashMap<>();
+        Map<Policy.Place, String> owners = new HashMap<>();
         for (Route route : routes.values()) {
-            String other = owners.put(route.path(), route.name());
+            String other = owners.put(new Policy.Place(route.host(), route.path()), route.name());
             require(other == null, Code.BAD_VALUE, "path " + route.path() + " belongs to two routes");
         }
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/Policy.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/Policy.java
@@ -24,7 +24,7 @@
         long version,
         PMap<String, Team> teams,
         PMap<String, Route> routes,
-        PMap<String, String> paths,
+        PMap<Place, String> paths,
         PMap<String, String> keys) {
 
     /** The policy before the first version: it refuses everything. */
@@ -32,20 +32,28 @@
             new Policy(0, HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty());
 
     /**
-     * Finds the route of a request.
+     * Finds the route of a request: the longest prefix among the routes of its host, then among those for any host.
      *
-     * @param pathWithQuery path of the request
-     * @return the route with the longest matching prefix of whole segments
+     * @param host host that the request names, lower case
+     * @param pathWithQuery path of the request, with its query
+     * @return the route
      */
-    public Optional<Route> routeOf(String pathWithQuery) {
+    public Optional<Route> routeOf(String host, String pathWithQuery) {
         int query = pathWithQuery.indexOf('?');
         String path = query < 0 ? pathWithQuery : pathWithQuery.substring(0, query);
-        while (!path.isEmpty()) {
-            String name = paths.get(path);
+        Optional<Route> own = longestPrefix(host, path);
+        return own.isPresent() || host.equals(Route.ANY_HOST) ? own : longestPrefix(Route.ANY_HOST, path);
+    }
+
+    private Optional<Route> longestPrefix(String host, String path) {
+        String prefix = path;
+        while (!prefix.isEmpty()) {
+            String name = paths.get(new Place(host, prefix));
             if (name != null) {
                 return Optional.of(routes.get(name));
             }
-            path = path.substring(0, Math.max(0, path.lastIndexOf('/')));
+            int end = prefix.endsWith("/") ? prefix.length() - 1 : prefix.lastIndexOf('/') + 1;
+            prefix = prefix.substring(0, end);
         }
         return Optional.empty();
     }
@@ -118,11 +126,19 @@
         return new Policy(snapshot.version(), teams, routes, pathsOf(routes), keys);
     }
 
-    private static PMap<String, String> pathsOf(PMap<String, Route> routes) {
-        PMap<String, String> paths = HashTreePMap.empty();
+    private static PMap<Place, String> pathsOf(PMap<String, Route> routes) {
+        PMap<Place, String> paths = HashTreePMap.empty();
         for (Route route : routes.values()) {
-            paths = paths.plus(route.path(), route.name());
+            paths = paths.plus(new Place(route.host(), route.path()), route.name());
         }
         return paths;
     }
+
+    /**
+     * Where a route applies.
+     *
+     * @param host host, empty for any
+     * @param prefix path prefix
+     */
+    public record Place(String host, String prefix) {}
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyLogic.java
@@ -36,6 +36,9 @@
     private static final Duration COMMIT_RETRY = Duration.ofMillis(500);
     private static final Duration PULL_PAUSE = Duration.ofMillis(250);
     private static final Duration READ_RETRY = Duration.ofSeconds(1);
+    /** Without news of the watchers for this long a node asks the platform itself. */
+    private static final Duration STALE_AFTER = Duration.ofMillis(2_500);
+
     private static final int PAGE_VERSIONS = 32;
 
     private PolicyLogic() {}
@@ -204,7 +207,9 @@
      */
     public static PolicyState tick(PolicyState state, boolean watcher, Instant now, Outbox out) {
         PolicyState next = state;
-        if (watcher && !state.reading() && !now.isBefore(state.readAt())) {
+        boolean stale = Duration.between(state.confirmedAt(), now).compareTo(STALE_AFTER) > 0;
+        boolean unknown = state.policy().version() == 0;
+        if ((watcher || stale || unknown) && !state.reading() && !now.isBefore(state.readAt())) {
             out.add(new Effect.ReadPolicy(state.policy().version()));
             next = next.withRead(now, true);
         }
--- a/core/src/main/java/org/heatherhaven/core/model/CallHead.java
+++ b/core/src/main/java/org/heatherhaven/core/model/CallHead.java
@@ -7,9 +7,11 @@
  *
  * @param requestId identifier of the call
  * @param rootId identifier of the root request that the call works for
+ * @param host host that the caller named
  * @param method HTTP method
  * @param path path with query, as the caller sent it
  * @param headers end-to-end headers without credentials
+ * @param origin service beside whose target the call entered; empty if there is none
  * @param service service that shall run the call
  * @param route name of the policy route
  * @param team team that the call runs for, empty on open routes
@@ -23,9 +25,11 @@
 public record CallHead(
         String requestId,
         String rootId,
+        String host,
         String method,
         String path,
         List<Header> headers,
+        String origin,
         String service,
         String route,
         String team,
--- a/core/src/main/java/org/heatherhaven/core/model/Member.java
+++ b/core/src/main/java/org/heatherhaven/core/model/Member.java
@@ -34,6 +34,17 @@
         return new Member(id, epoch, next, current, zone, service, slots);
     }
 
+    /**
+     * Copies this member with another target.
+     *
+     * @param nextService service of the target, empty for none
+     * @param nextSlots number of calls it works on at a time
+     * @return the changed member
+     */
+    public Member withTarget(String nextService, int nextSlots) {
+        return new Member(id, epoch, refutation + 1, status, zone, nextService, nextSlots);
+    }
+
     /**
      * Decides between two accounts of the same node.
      *
--- a/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
@@ -190,6 +190,8 @@
             TestNode node, String submission, String path, Optional<String> key, Optional<String> idempotency) {
         long number = node.nextCall++;
         CallRequest request = new CallRequest(
+                Optional.empty(),
+                "",
                 "POST",
                 path,
                 List.of(new Header("submission", submission)),
@@ -205,6 +207,8 @@
     public void nested(TestNode node, String context, String submission, String path) {
         long number = node.nextCall++;
         CallRequest request = new CallRequest(
+                Optional.empty(),
+                "",
                 "GET",
                 path,
                 List.of(new Header("submission", submission)),
--- a/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
+++ b/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
@@ -20,6 +20,7 @@
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Importance;
 import org.heatherhaven.core.model.Reason;
+import org.heatherhaven.core.model.TargetRef;
 
 /** Under overload the most important work survives longest, and teams share what is left fairly. */
 class AdmissionTest {
@@ -31,9 +32,11 @@
         return new CallHead(
                 "r" + number,
                 "root" + number,
+                "host",
                 "GET",
                 "/x",
                 List.of(),
+                "origin",
                 "service",
                 "route",
                 team,
@@ -47,8 +50,9 @@
 
     /** A target with four slots that are all taken by long calls, and a service time of ten milliseconds. */
     private static GuardState busy() {
-        GuardState state =
-                GuardState.start(AdmissionMode.FAIR_SHED, SLOTS, START).withLimit(SLOTS);
+        GuardState state = GuardLogic.targetIs(
+                        GuardState.start(AdmissionMode.FAIR_SHED, SLOTS, START), new TargetRef("", ""), SLOTS)
+                .withLimit(SLOTS);
         Outbox out = new Outbox();
         state = state.withServiceTime(Duration.ofMillis(10));
         for (int i = 0; i < SLOTS; i++) {
@@ -135,8 +139,9 @@
 
     @Example
     void aTeamThatFloodsATargetDoesNotTakeTheShareOfAnother() {
-        GuardState state =
-                GuardState.start(AdmissionMode.FAIR_SHED, SLOTS, START).withLimit(SLOTS);
+        GuardState state = GuardLogic.targetIs(
+                        GuardState.start(AdmissionMode.FAIR_SHED, SLOTS, START), new TargetRef("", ""), SLOTS)
+                .withLimit(SLOTS);
         Map<String, Integer> served = new HashMap<>();
         List<OfferKey> running = new ArrayList<>();
         Map<OfferKey, String> teams = new HashMap<>();
--- a/node/src/main/java/org/heatherhaven/node/Interpreter.java
+++ b/node/src/main/java/org/heatherhaven/node/Interpreter.java
@@ -16,7 +16,7 @@
 import org.heatherhaven.node.peer.PeerServer;
 import org.heatherhaven.node.platform.PlatformGateway;
 import org.heatherhaven.node.target.GuardedCalls;
-import org.heatherhaven.node.target.TargetClient;
+import org.heatherhaven.node.target.TargetConnections;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -24,7 +24,7 @@
 final class Interpreter implements EffectRunner {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(Interpreter.class);
-    private static final Set<String> CONTROL_SUBJECTS = Set.of("node", "policy");
+    private static final Set<String> CONTROL_SUBJECTS = Set.of("node", "policy", "target");
 
     private final Owner self;
     private final Mailbox<Event> mailbox;
@@ -49,12 +49,13 @@
             PeerLinks peers,
             PeerServer server,
             GuardedCalls guarded,
-            TargetClient target,
+            TargetConnections target,
             EntryCalls entered,
             PlatformGateway platform,
             NodeMetrics metrics,
             DecisionLog decisions,
             PatchDesk patches,
+            ReportDesk reports,
             Runnable closeCallers,
             Runnable leave) {}
 
@@ -128,6 +129,8 @@
             mailbox.put(new ControlEvent.LinksClosed(parts.server().closeAccepted()));
         } else if (effect instanceof Effect.AnswerPatch answer) {
             parts.patches().answer(answer);
+        } else if (effect instanceof Effect.AcknowledgeTarget acknowledge) {
+            parts.reports().acknowledge(acknowledge);
         } else if (effect instanceof Effect.Note note) {
             note(note);
         } else if (effect instanceof Effect.Leave) {
--- a/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
+++ b/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
@@ -1,7 +1,7 @@
 package org.heatherhaven.node;
 
-import java.io.IOException;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -12,6 +12,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.heatherhaven.core.effect.Effect.AnswerPatch;
+import org.heatherhaven.core.effect.Effect.ReportVerdict;
 import org.heatherhaven.core.event.ControlEvent;
 import org.heatherhaven.core.event.Event;
 import org.heatherhaven.core.event.TrafficEvent.Door;
@@ -20,24 +21,26 @@
 import org.heatherhaven.core.model.MemberStatus;
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.PolicyPatch;
+import org.heatherhaven.core.model.TargetRef;
+import org.heatherhaven.core.model.TargetReport;
 import org.heatherhaven.node.control.ControlLoop;
 import org.heatherhaven.node.control.Mailbox;
 import org.heatherhaven.node.control.SteadyClock;
 import org.heatherhaven.node.entry.CallerServer;
 import org.heatherhaven.node.entry.EntryCalls;
+import org.heatherhaven.node.http.PageServer;
 import org.heatherhaven.node.metrics.NodeMetrics;
 import org.heatherhaven.node.operator.DecisionLog;
 import org.heatherhaven.node.operator.OperatorDesk;
-import org.heatherhaven.node.operator.OperatorServer;
 import org.heatherhaven.node.operator.PatchDesk;
 import org.heatherhaven.node.peer.PeerLinks;
 import org.heatherhaven.node.peer.PeerServer;
 import org.heatherhaven.node.peer.PeerSettings;
-import org.heatherhaven.node.platform.HttpPlatform;
 import org.heatherhaven.node.platform.PlatformGateway;
 import org.heatherhaven.node.settings.NodeSettings;
 import org.heatherhaven.node.target.GuardedCalls;
-import org.heatherhaven.node.target.TargetClient;
+import org.heatherhaven.node.target.TargetConnections;
+import org.heatherhaven.node.target.TargetSettings;
 import org.heatherhaven.node.wire.FleetSecrets;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -58,35 +61,41 @@
     private final Member self;
     private final PeerLinks peers;
     private final PeerServer peerServer;
-    private final TargetClient target;
-    private final HttpPlatform httpPlatform;
+    private final TargetConnections target;
+    private final Integration integration;
     private final PlatformGateway platform;
     private final CallerServer callers;
-    private final CallerServer targetCalls;
-    private final OperatorServer operators;
+    private final Optional<CallerServer> targetCalls;
+    private final EntryCalls entered;
+    private final PageServer operators;
+    private final ReportDesk reports;
     private final ControlLoop loop;
     private final PatchDesk patches;
+    private volatile boolean draining;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final CountDownLatch left = new CountDownLatch(1);
 
     /**
-     * Creates a node that has not started.
+     * Creates a node that has not started, with the product's own interfaces.
      *
      * @param settings its settings
      */
     public NodeDaemon(NodeSettings settings) {
+        this(settings, wiring -> new OwnIntegration(settings, wiring));
+    }
+
+    /**
+     * Creates a node that has not started.
+     *
+     * @param settings its settings
+     * @param factory makes what it is connected to
+     */
+    public NodeDaemon(NodeSettings settings, Integration.Factory factory) {
         this.settings = settings;
         this.mailbox = new Mailbox<>(settings.mailboxCapacity());
         this.group = new NioEventLoopGroup(settings.threads(), new DefaultThreadFactory("traffic", true));
-        this.self = new Member(
-                new NodeId(settings.peers().getHostString() + ":"
-                        + settings.peers().getPort()),
-                clock.instant().toEpochMilli(),
-                0,
-                MemberStatus.ALIVE,
-                settings.zone(),
-                settings.target().service(),
-                settings.target().slots());
+        this.integration = factory.create(new Integration.Wiring(group, clock, metrics));
+        this.self = self(settings, clock.instant());
         TlsContexts tls = TlsContexts.of(settings.tls());
         PeerSettings peerSettings = new PeerSettings(
                 self.owner(),
@@ -97,15 +106,15 @@
         this.peers = new PeerLinks(peerSettings, group, clock);
         GuardedCalls guarded = new GuardedCalls(mailbox, metrics::countPeerTurnedAway);
         this.peerServer = new PeerServer(peerSettings, guarded);
-        this.target = new TargetClient(settings.target(), group);
-        this.httpPlatform =
-                new HttpPlatform(settings.platformUrl(), settings.platformTimeout(), group, metrics::countPlatformCall);
-        this.platform = new PlatformGateway(httpPlatform, clock, mailbox::put);
-        EntryCalls entered = new EntryCalls(mailbox, peers, metrics::countRefusal);
+        this.target = new TargetConnections(integration.dialect(), group.next(), clock);
+        this.platform = new PlatformGateway(integration.platform(), integration.policies(), mailbox::put);
+        this.entered = new EntryCalls(mailbox, peers, integration.dialect(), metrics::countRefusal);
         this.callers = new CallerServer(Door.CALLER, settings.entry(), entered, tls.callers());
-        this.targetCalls = new CallerServer(Door.TARGET, settings.entry(), entered, Optional.empty());
+        this.targetCalls = settings.targetCalls()
+                .map(any -> new CallerServer(Door.TARGET, settings.entry(), entered, Optional.empty()));
         DecisionLog decisions = new DecisionLog(DECISIONS_KEPT);
         this.patches = new PatchDesk(mailbox::put);
+        this.reports = new ReportDesk(mailbox);
         Interpreter interpreter = new Interpreter(
                 self.owner(),
                 mailbox,
@@ -119,13 +128,37 @@
                         metrics,
                         decisions,
                         patches,
+                        reports,
                         this::closeCallers,
                         this::leave));
-        NodeState start = NodeState.start(settings.rules(), self, clock.instant());
+        NodeState start = NodeState.start(settings.rules(), self, fixedTarget(settings.target()), clock.instant());
         this.loop = new ControlLoop(start, mailbox, clock, interpreter);
-        this.operators = new OperatorServer(
-                new OperatorDesk(loop::state, clock, metrics, decisions, patches, this::drain),
-                settings.operatorToken());
+        this.operators = new PageServer(new OperatorDesk(
+                loop::state, clock, metrics, decisions, patches, this::drain, settings.operatorToken()));
+        addGauges();
+    }
+
+    private static Member self(NodeSettings settings, Instant now) {
+        TargetSettings target = settings.target();
+        return new Member(
+                new NodeId(settings.peers().getHostString() + ":"
+                        + settings.peers().getPort()),
+                now.toEpochMilli(),
+                0,
+                MemberStatus.ALIVE,
+                settings.zone(),
+                target.reports() ? "" : target.service(),
+                target.reports() ? 0 : target.slots());
+    }
+
+    /** A target that does not report is there from the start. */
+    private static Optional<TargetRef> fixedTarget(TargetSettings target) {
+        String address =
+                target.address().getHostString() + ":" + target.address().getPort();
+        return target.reports() ? Optional.empty() : Optional.of(new TargetRef("", address));
+    }
+
+    private void addGauges() {
         metrics.gauge("control.mailbox", mailbox::size);
         metrics.gauge("peers.connections", peers::size);
         metrics.gauge("calls.entered", () -> loop.state().calls().calls().size());
@@ -142,14 +175,16 @@
         control.setDaemon(true);
         control.start();
         announce();
-        targetCalls.listen(group, settings.targetCalls());
+        targetCalls.ifPresent(
+                server -> server.listen(group, settings.targetCalls().orElseThrow()));
         callers.listen(group, settings.callers());
         LOGGER.info(
                 "Node {} of service {} in zone {} takes calls at {}",
                 self.id(),
-                self.service(),
+                settings.target().service(),
                 self.zone(),
                 settings.callers());
+        integration.started(this);
     }
 
     private void announce() {
@@ -164,12 +199,15 @@
 
     /** Begins a planned stop: no new work, everything in flight is finished, then the node leaves. */
     public void drain() {
+        LOGGER.info("Node {} was asked to stop", self.id());
+        draining = true;
+        entered.closeAfterAnswers();
         mailbox.put(new ControlEvent.DrainAsked());
     }
 
     private void closeCallers() {
         callers.closeConnections();
-        targetCalls.closeConnections();
+        targetCalls.ifPresent(CallerServer::closeConnections);
     }
 
     private void leave() {
@@ -194,20 +232,45 @@
         ended.set(true);
         loop.stop();
         callers.close();
-        targetCalls.close();
+        targetCalls.ifPresent(CallerServer::close);
         operators.close();
         peerServer.close();
         peers.close();
-        try {
-            target.close();
-        } catch (IOException e) {
-            LOGGER.debug("The target's client did not close: {}", e.getMessage());
-        }
-        httpPlatform.close();
+        target.close();
+        integration.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         left.countDown();
     }
 
+    /**
+     * Takes a report of the target.
+     *
+     * @param report what the target says of itself
+     * @return how it was taken, once it is in force
+     */
+    public CompletableFuture<ReportVerdict> report(TargetReport report) {
+        return reports.submit(ticket -> new ControlEvent.TargetReported(report, ticket));
+    }
+
+    /**
+     * Takes the word that a process life of the target leaves for good.
+     *
+     * @param instance identifier of the process life
+     * @return how it was taken, once it is in force
+     */
+    public CompletableFuture<ReportVerdict> targetLeft(String instance) {
+        return reports.submit(ticket -> new ControlEvent.TargetLeft(instance, ticket));
+    }
+
+    /**
+     * Tells whether callers are welcome: a policy is known and the node is not leaving.
+     *
+     * @return true if it is ready
+     */
+    public boolean ready() {
+        return !draining && loop.state().policy().policy().version() > 0;
+    }
+
     /**
      * The latest state, for tests and measurements.
      *
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/OwnIntegration.java
@@ -0,0 +1,46 @@
+package org.heatherhaven.node;
+
+import org.heatherhaven.node.http.CallDialect;
+import org.heatherhaven.node.http.OwnDialect;
+import org.heatherhaven.node.platform.HttpPlatform;
+import org.heatherhaven.node.platform.Platform;
+import org.heatherhaven.node.platform.PolicySource;
+import org.heatherhaven.node.platform.VersionedPolicySource;
+import org.heatherhaven.node.settings.NodeSettings;
+
+/** The product's own interfaces. */
+final class OwnIntegration implements Integration {
+
+    private final CallDialect dialect = new OwnDialect();
+    private final HttpPlatform platform;
+    private final PolicySource policies;
+
+    OwnIntegration(NodeSettings settings, Wiring wiring) {
+        this.platform = new HttpPlatform(
+                settings.platformUrl(),
+                settings.platformTimeout(),
+                wiring.group(),
+                wiring.metrics()::countPlatformCall);
+        this.policies = new VersionedPolicySource(platform, wiring.clock());
+    }
+
+    @Override
+    public CallDialect dialect() {
+        return dialect;
+    }
+
+    @Override
+    public Platform platform() {
+        return platform;
+    }
+
+    @Override
+    public PolicySource policies() {
+        return policies;
+    }
+
+    @Override
+    public void close() {
+        platform.close();
+    }
+}
--- a/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
@@ -19,6 +19,7 @@
 import org.heatherhaven.core.event.TrafficEvent.Door;
 import org.heatherhaven.core.model.Reason;
 import org.heatherhaven.core.model.Refusal;
+import org.heatherhaven.node.http.BadCallException;
 
 /** A caller's connection: one call after another, pipelined requests wait their turn. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
@@ -97,9 +98,9 @@
         }
         CallRequest call;
         try {
-            call = EntryCalls.request(door, request.method().name(), request.uri(), request.headers());
-        } catch (NumberFormatException e) {
-            turnAway(ctx, Refusal.notRun(Reason.BAD_REQUEST, "the timeout is not a number of milliseconds"));
+            call = calls.dialect().request(door, request.method().name(), request.uri(), request.headers());
+        } catch (BadCallException e) {
+            turnAway(ctx, Refusal.notRun(Reason.BAD_REQUEST, e.getMessage()));
             return;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -120,7 +121,7 @@
     private void turnAway(ChannelHandlerContext ctx, Refusal refusal) {
         closing = true;
         calls.countRefusal(refusal.reason());
-        Refusals.writeAndClose(ctx.channel(), Refusals.response(refusal, NO_ID, 0));
+        LastAnswer.writeAndClose(ctx.channel(), calls.dialect().refusal(refusal, NO_ID, 0));
     }
 
     /** The call is over; the next one may be waiting already. */
--- a/node/src/main/java/org/heatherhaven/node/entry/EntryCalls.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryCalls.java
@@ -1,14 +1,11 @@
 package org.heatherhaven.node.entry;
 
-import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
-import io.netty.handler.codec.http.HttpHeaders;
-import org.apache.commons.codec.digest.DigestUtils;
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.event.Event;
 import org.heatherhaven.core.event.TrafficEvent;
@@ -16,33 +13,33 @@
 import org.heatherhaven.core.event.TrafficEvent.Door;
 import org.heatherhaven.core.model.Reason;
 import org.heatherhaven.node.control.Mailbox;
-import org.heatherhaven.node.http.EndToEnd;
+import org.heatherhaven.node.http.CallDialect;
 import org.heatherhaven.node.peer.PeerLinks;
-import org.heatherhaven.node.target.TargetClient;
 
 /** All calls that entered at this node and are not over. */
 public final class EntryCalls {
 
-    private static final String BEARER = "Bearer ";
-    private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
-
     private final Mailbox<Event> mailbox;
     private final PeerLinks peers;
+    private final CallDialect dialect;
     private final Consumer<Reason> refusals;
     private final Map<Long, EntryExchange> calls = new ConcurrentHashMap<>();
     private final AtomicLong nextCall = new AtomicLong(1);
+    private volatile boolean leaving;
 
     /**
      * Creates the set, empty.
      *
      * @param mailbox takes the events
      * @param peers connections to other nodes
+     * @param dialect how callers are spoken to
      * @param refusals counts refusals that the reducer never sees
      */
-    public EntryCalls(Mailbox<Event> mailbox, PeerLinks peers, Consumer<Reason> refusals) {
+    public EntryCalls(Mailbox<Event> mailbox, PeerLinks peers, CallDialect dialect, Consumer<Reason> refusals) {
         this.mailbox = mailbox;
         this.refusals = refusals;
         this.peers = peers;
+        this.dialect = dialect;
     }
 
     long nextNumber() {
@@ -75,27 +72,17 @@
         return peers;
     }
 
-    static CallRequest request(Door door, String method, String uri, HttpHeaders headers) {
-        return new CallRequest(
-                method,
-                uri,
-                EndToEnd.headers(headers),
-                Optional.ofNullable(headers.get("Authorization"))
-                        .filter(value -> value.startsWith(BEARER))
-                        .map(value -> DigestUtils.sha256Hex(
-                                value.substring(BEARER.length()).trim())),
-                Optional.ofNullable(headers.get(TargetClient.CONTEXT_HEADER)).filter(id -> door == Door.TARGET),
-                Optional.ofNullable(headers.get(TargetClient.TIMEOUT_HEADER)).map(EntryCalls::timeout),
-                Optional.ofNullable(headers.get(IDEMPOTENCY_KEY)));
+    CallDialect dialect() {
+        return dialect;
     }
 
-    /** Reads a timeout; throws NumberFormatException if it is not a positive number of milliseconds. */
-    private static Duration timeout(String value) {
-        long millis = Long.parseLong(value.trim());
-        if (millis <= 0) {
-            throw new NumberFormatException("timeout " + millis);
-        }
-        return Duration.ofMillis(millis);
+    /** Asks callers to open new connections elsewhere: every answer from now on closes its own. */
+    public void closeAfterAnswers() {
+        leaving = true;
+    }
+
+    boolean closesAfterAnswers() {
+        return leaving;
     }
 
     /**
--- a/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
@@ -46,6 +46,8 @@
     private final RequestBody body;
     private boolean keepAlive;
     private boolean answering;
+    private boolean closing;
+    private boolean flushing;
     private boolean over;
     private int attempt;
     private AttemptStream stream;
@@ -100,7 +102,8 @@
         String id = head == null ? "none" : head.requestId();
         keepAlive = false;
         end();
-        Refusals.writeAndClose(channel, Refusals.response(refusal, id, head == null ? 0 : head.policyVersion()));
+        LastAnswer.writeAndClose(
+                channel, calls.dialect().refusal(refusal, id, head == null ? 0 : head.policyVersion()));
     }
 
     void callerGone() {
@@ -151,15 +154,16 @@
                 channel.close();
                 return;
             }
-            boolean reusable = keepAlive && body.complete();
-            HttpResponse response = Refusals.response(effect.refusal(), effect.requestId(), effect.policyVersion());
+            boolean reusable = reusable();
+            HttpResponse response =
+                    calls.dialect().refusal(effect.refusal(), effect.requestId(), effect.policyVersion());
             end();
             if (reusable) {
                 channel.writeAndFlush(response);
                 finished.accept(this, true);
             } else {
                 finished.accept(this, false);
-                Refusals.writeAndClose(channel, response);
+                LastAnswer.writeAndClose(channel, response);
             }
         });
     }
@@ -226,30 +230,45 @@
         for (Header header : answer.headers()) {
             response.headers().add(header.name(), header.value());
         }
-        response.headers()
-                .set(Refusals.REQUEST_ID_HEADER, head.requestId())
-                .set(Refusals.POLICY_HEADER, head.policyVersion())
-                .set(Refusals.OUTCOME_HEADER, Outcome.RUN.label());
+        calls.dialect().addForCaller(response.headers(), head);
         boolean bodiless = answer.status() == NO_BODY_STATUS_NO_CONTENT
                 || answer.status() == NO_BODY_STATUS_NOT_MODIFIED
                 || answer.status() < HttpResponseStatus.OK.code();
         if (!bodiless && !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             HttpUtil.setTransferEncodingChunked(response, true);
         }
-        if (!keepAlive || !body.complete()) {
+        closing = !reusable();
+        if (closing) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        channel.writeAndFlush(response);
+        channel.write(response);
+        flushSoon();
+    }
+
+    private boolean reusable() {
+        return keepAlive && body.complete() && !calls.closesAfterAnswers();
+    }
+
+    /** Pieces that arrive together leave together. */
+    private void flushSoon() {
+        if (!flushing) {
+            flushing = true;
+            channel.eventLoop().execute(() -> {
+                flushing = false;
+                channel.flush();
+            });
+        }
     }
 
     private void writeChunk(ByteBuf data) {
         int bytes = data.readableBytes();
         AttemptStream from = stream;
-        channel.writeAndFlush(new DefaultHttpContent(data)).addListener(done -> {
+        channel.write(new DefaultHttpContent(data)).addListener(done -> {
             if (done.isSuccess()) {
                 from.grant(bytes);
             }
         });
+        flushSoon();
     }
 
     private void answerEnded(AnswerEnd answerEnd) {
@@ -267,7 +286,7 @@
             channel.close();
             return;
         }
-        boolean reusable = keepAlive && body.complete();
+        boolean reusable = !closing;
         var written = channel.writeAndFlush(new DefaultLastHttpContent());
         if (!reusable) {
             written.addListener(ChannelFutureListener.CLOSE);
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/entry/LastAnswer.java
@@ -0,0 +1,18 @@
+package org.heatherhaven.node.entry;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** Writes the last answer of a connection. */
+final class LastAnswer {
+
+    private LastAnswer() {}
+
+    static void writeAndClose(Channel channel, HttpResponse response) {
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/http/AnswerVerdict.java
@@ -0,0 +1,17 @@
+package org.heatherhaven.node.http;
+
+/** What the head of a target's answer means. */
+public enum AnswerVerdict {
+    /** The target's answer to this call. */
+    ANSWER,
+    /** An answer to another call, which came too late to be expected. */
+    FOREIGN,
+    /** The target is overloaded, and did not say whether it ran the call. */
+    OVERLOADED,
+    /** The target proves that it did not run the call. */
+    NOT_RUN,
+    /** Another process has the target's address and did not run the call. */
+    REPLACED,
+    /** No answer that could be passed on. */
+    UNUSABLE
+}
--- a/node/src/main/java/org/heatherhaven/node/http/EndToEnd.java
+++ b/node/src/main/java/org/heatherhaven/node/http/EndToEnd.java
@@ -6,14 +6,15 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.heatherhaven.core.model.Header;
 
 /** Tells headers that travel end to end from those that end at each node. */
 public final class EndToEnd {
 
-    private static final String OWN_PREFIX = "heatherhaven-";
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection",
             "keep-alive",
@@ -28,34 +29,52 @@
             "host");
 
     /** Credentials end at the first node, whatever the route; no target ever sees a key. */
-    private static final Set<String> CREDENTIALS = Set.of("authorization", "request-timeout-ms");
+    private static final String CREDENTIALS = "authorization";
 
-    private EndToEnd() {}
+    private final Predicate<String> own;
+
+    /**
+     * Creates a filter of headers.
+     *
+     * @param own recognises names, in lower case, of headers that only nodes write; a caller's are dropped
+     */
+    public EndToEnd(Predicate<String> own) {
+        this.own = own;
+    }
 
     /**
      * Headers that travel on.
      *
-     * @param headers headers as received
-     * @return headers without hop-by-hop fields, credentials and fields of our own
+     * @param headers all headers of a message
+     * @return those that are not about one connection, a credential or a node's own
      */
-    public static List<Header> headers(HttpHeaders headers) {
-        Set<String> named = new HashSet<>();
-        for (String value : headers.getAll("Connection")) {
-            for (String name : value.split(",")) {
-                named.add(name.trim().toLowerCase(Locale.ROOT));
-            }
-        }
+    public List<Header> headers(HttpHeaders headers) {
+        Set<String> named = namedByConnection(headers);
         List<Header> kept = new ArrayList<>();
         for (Map.Entry<String, String> header : headers) {
             String name = header.getKey().toLowerCase(Locale.ROOT);
-            boolean ends = HOP_BY_HOP.contains(name) || CREDENTIALS.contains(name) || named.contains(name);
-            if (!ends && !name.startsWith(OWN_PREFIX)) {
+            boolean ends = HOP_BY_HOP.contains(name) || name.equals(CREDENTIALS) || named.contains(name);
+            if (!ends && !own.test(name)) {
                 kept.add(new Header(header.getKey(), header.getValue()));
             }
         }
         return kept;
     }
 
+    private static Set<String> namedByConnection(HttpHeaders headers) {
+        List<String> values = headers.getAll(HttpHeaderNames.CONNECTION);
+        if (values.isEmpty()) {
+            return Set.of();
+        }
+        Set<String> named = new HashSet<>();
+        for (String value : values) {
+            for (String name : value.split(",")) {
+                named.add(name.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        return named;
+    }
+
     /**
      * Length of the body that headers announce.
      *
--- a/node/src/main/java/org/heatherhaven/node/operator/OperatorServer.java
+++ b/node/src/main/java/org/heatherhaven/node/http/PageServer.java
@@ -1,14 +1,12 @@
-package org.heatherhaven.node.operator;
+package org.heatherhaven.node.http;
 
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.util.Optional;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
@@ -18,31 +16,31 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import org.heatherhaven.node.operator.OperatorDesk.Reply;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** Listens for operators. */
-public final class OperatorServer {
+/** Listens for small requests. */
+public final class PageServer {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(PageServer.class);
     private static final int MAX_BODY_BYTES = 1 << 20;
-    private static final String BEARER = "Bearer ";
 
-    private final OperatorDesk desk;
-    private final Optional<String> token;
+    private final Pages pages;
     private Channel listener;
 
     /**
      * Creates a server that does not listen yet.
      *
-     * @param desk answers the questions
-     * @param token what operators must present, if configured
+     * @param pages answers the requests
      */
-    public OperatorServer(OperatorDesk desk, Optional<String> token) {
-        this.desk = desk;
-        this.token = token;
+    public PageServer(Pages pages) {
+        this.pages = pages;
     }
 
     /**
@@ -77,40 +75,42 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            if (!admitted(request)) {
-                answer(ctx, OperatorDesk.problem(401, "the operators' token is missing or wrong"));
-                return;
-            }
-            byte[] body = ByteBufUtil.getBytes(request.content());
-            desk.handle(request.method().name(), request.uri(), body)
-                    .whenComplete((reply, failure) -> answer(
-                            ctx,
-                            failure == null ? reply : OperatorDesk.problem(500, "the question can't be answered")));
+            Pages.Request asked = new Pages.Request(
+                    request.method().name(),
+                    request.uri(),
+                    BearerKey.of(request.headers()),
+                    ByteBufUtil.getBytes(request.content()));
+            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            pages.handle(asked).whenComplete((reply, failure) -> {
+                if (failure != null) {
+                    LOGGER.warn("{} {} can't be answered", asked.method(), asked.path(), failure);
+                }
+                answer(
+                        ctx,
+                        keepAlive,
+                        failure == null ? reply : Reply.empty(HttpResponseStatus.INTERNAL_SERVER_ERROR.code()));
+            });
         }
 
-        private boolean admitted(FullHttpRequest request) {
-            if (token.isEmpty()) {
-                return true;
-            }
-            String presented = request.headers().get(HttpHeaderNames.AUTHORIZATION, "");
-            return MessageDigest.isEqual(
-                    presented.getBytes(StandardCharsets.UTF_8),
-                    (BEARER + token.get()).getBytes(StandardCharsets.UTF_8));
-        }
-
-        private void answer(ChannelHandlerContext ctx, Reply reply) {
+        private void answer(ChannelHandlerContext ctx, boolean keepAlive, Reply reply) {
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(reply.status()),
                     Unpooled.wrappedBuffer(reply.body()));
             response.headers()
-                    .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                    .set(HttpHeaderNames.CONTENT_TYPE, reply.contentType())
                     .set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
-            ctx.writeAndFlush(response);
+            if (keepAlive) {
+                ctx.writeAndFlush(response);
+            } else {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            LOGGER.debug("A connection for pages failed: {}", cause.toString());
             ctx.close();
         }
     }
--- a/node/src/main/java/org/heatherhaven/node/operator/OperatorDesk.java
+++ b/node/src/main/java/org/heatherhaven/node/operator/OperatorDesk.java
@@ -1,6 +1,8 @@
 package org.heatherhaven.node.operator;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Locale;
@@ -21,10 +23,12 @@
 import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.PolicyPatch;
 import org.heatherhaven.core.model.RightId;
+import org.heatherhaven.node.http.Pages;
+import org.heatherhaven.node.http.Reply;
 import org.heatherhaven.node.metrics.NodeMetrics;
 
 /** Answers operators' questions from the latest state, without the control thread. */
-public final class OperatorDesk {
+public final class OperatorDesk implements Pages {
 
     private static final String EXPLAIN = "/explain/";
 
@@ -41,6 +45,7 @@
     private final DecisionLog decisions;
     private final PatchDesk patches;
     private final Runnable drain;
+    private final Optional<String> token;
 
     /**
      * Creates the desk.
@@ -51,6 +56,7 @@
      * @param decisions the latest decisions
      * @param patches takes patches
      * @param drain starts a planned stop
+     * @param token what operators must present, if anything
      */
     public OperatorDesk(
             Supplier<NodeState> state,
@@ -58,24 +64,33 @@
             NodeMetrics metrics,
             DecisionLog decisions,
             PatchDesk patches,
-            Runnable drain) {
+            Runnable drain,
+            Optional<String> token) {
         this.state = state;
         this.clock = clock;
         this.metrics = metrics;
         this.decisions = decisions;
         this.patches = patches;
         this.drain = drain;
+        this.token = token;
     }
 
-    /**
-     * An answer to an operator.
-     *
-     * @param status HTTP status
-     * @param body JSON
-     */
-    public record Reply(int status, byte[] body) {}
+    @Override
+    public CompletableFuture<Reply> handle(Request request) {
+        if (!admitted(request.key())) {
+            return done(problem(401, "the operators' token is missing or wrong"));
+        }
+        return handle(request.method(), request.path(), request.body());
+    }
+
+    private boolean admitted(Optional<String> presented) {
+        return token.isEmpty()
+                || MessageDigest.isEqual(
+                        presented.orElse("").getBytes(StandardCharsets.UTF_8),
+                        token.get().getBytes(StandardCharsets.UTF_8));
+    }
 
-    CompletableFuture<Reply> handle(String method, String path, byte[] body) {
+    private CompletableFuture<Reply> handle(String method, String path, byte[] body) {
         if (method.equals("POST") && path.equals("/policy/patches")) {
             return patch(body);
         }
@@ -171,7 +186,7 @@
 
     private static Reply reply(int status, Object body) {
         try {
-            return new Reply(status, JSON.writeValueAsBytes(body));
+            return Reply.json(status, JSON.writeValueAsBytes(body));
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("can't write " + body.getClass(), e);
         }
--- a/node/src/main/java/org/heatherhaven/node/platform/PlatformGateway.java
+++ b/node/src/main/java/org/heatherhaven/node/platform/PlatformGateway.java
@@ -1,19 +1,11 @@
 package org.heatherhaven.node.platform;
 
-import java.io.IOException;
 import java.time.Duration;
-import java.time.Instant;
-import java.time.InstantSource;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
-import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.event.Event;
 import org.heatherhaven.core.event.PlatformEvent;
@@ -31,21 +23,11 @@
 public final class PlatformGateway {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(PlatformGateway.class);
-    private static final Duration WATCH_PATIENCE = Duration.ofSeconds(2);
-    private static final int PAGE_OBJECTS = 200;
     private static final int MEMBER_SAMPLE = 200;
-    private static final String VERSIONS = "policy/versions/";
-    private static final String SNAPSHOT = "policy/snapshot";
     private static final String MEMBERS = "members/";
 
-    private static final ObjectMapper JSON = new ObjectMapper()
-            .registerModule(new Jdk8Module())
-            .registerModule(new JavaTimeModule())
-            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
-            .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES);
-
     private final Platform platform;
-    private final InstantSource clock;
+    private final PolicySource policies;
     private final Consumer<Event> events;
 
     /**
@@ -55,9 +37,9 @@
      * @param clock source of time
      * @param events takes what came of the calls
      */
-    public PlatformGateway(Platform platform, InstantSource clock, Consumer<Event> events) {
+    public PlatformGateway(Platform platform, PolicySource policies, Consumer<Event> events) {
         this.platform = platform;
-        this.clock = clock;
+        this.policies = policies;
         this.events = events;
     }
 
@@ -82,13 +64,15 @@
     public void createGrant(Effect.CreateGrant effect) {
         settle(
                 effect.right(),
-                platform.create(key(effect.right()), write(effect.grant())).thenAccept(version -> {
-                    if (version.isPresent()) {
-                        events.accept(new PlatformEvent.GrantSeen(effect.right(), effect.grant(), version.getAsLong()));
-                    } else {
-                        readGrant(new Effect.ReadGrant(effect.right()));
-                    }
-                }));
+                platform.create(key(effect.right()), Stored.write(effect.grant()))
+                        .thenAccept(version -> {
+                            if (version.isPresent()) {
+                                events.accept(new PlatformEvent.GrantSeen(
+                                        effect.right(), effect.grant(), version.getAsLong()));
+                            } else {
+                                readGrant(new Effect.ReadGrant(effect.right()));
+                            }
+                        }));
     }
 
     /**
@@ -99,7 +83,7 @@
     public void updateGrant(Effect.UpdateGrant effect) {
         settle(
                 effect.right(),
-                platform.update(key(effect.right()), write(effect.grant()), effect.objectVersion())
+                platform.update(key(effect.right()), Stored.write(effect.grant()), effect.objectVersion())
                         .thenAccept(version -> {
                             if (version.isPresent()) {
                                 events.accept(new PlatformEvent.GrantSeen(
@@ -119,42 +103,27 @@
     }
 
     private static PlatformEvent seen(RightId right, StoredObject object) {
-        return new PlatformEvent.GrantSeen(right, read(object.value(), Grant.class), object.version());
+        return new PlatformEvent.GrantSeen(right, Stored.read(object.value(), Grant.class), object.version());
     }
 
     /**
      * Reads policy versions.
      *
-     * @param effect after which version
+     * @param effect what to read
      */
     public void readPolicy(Effect.ReadPolicy effect) {
-        Instant askedAt = clock.instant();
-        CompletableFuture<Optional<PolicySnapshot>> snapshot = effect.after() > 0
-                ? CompletableFuture.completedFuture(Optional.empty())
-                : platform.get(SNAPSHOT)
-                        .thenApply(found -> found.map(object -> read(object.value(), PolicySnapshot.class)));
-        snapshot.thenCompose(start -> {
-                    long after = start.map(PolicySnapshot::version).orElse(effect.after());
-                    return platform.list(VERSIONS, versionKey(after), PAGE_OBJECTS, WATCH_PATIENCE)
-                            .thenAccept(objects -> policyRead(start, objects, askedAt));
-                })
+        policies.read(effect.after())
+                .thenAccept(reading -> events.accept(new PlatformEvent.PolicyRead(
+                        reading.snapshot(),
+                        reading.versions(),
+                        Math.max(0, reading.provenAgo().toMillis()))))
                 .exceptionally(cause -> {
-                    LOGGER.debug("The policy can't be read: {}", cause.toString());
+                    LOGGER.info("The policy can't be read: {}", cause.toString());
                     events.accept(new PlatformEvent.PolicyReadFailed());
                     return null;
                 });
     }
 
-    private void policyRead(Optional<PolicySnapshot> start, List<StoredObject> objects, Instant askedAt) {
-        List<PolicyVersion> versions = objects.stream()
-                .map(object -> read(object.value(), PolicyVersion.class))
-                .toList();
-        // A full page may have successors, so that it proves nothing about the newest version.
-        Instant provenAt = objects.size() < PAGE_OBJECTS ? askedAt : Instant.EPOCH;
-        long ago = Math.max(0, Duration.between(provenAt, clock.instant()).toMillis());
-        events.accept(new PlatformEvent.PolicyRead(start, versions, ago));
-    }
-
     /**
      * Creates a policy version.
      *
@@ -162,12 +131,13 @@
      */
     public void writePolicy(Effect.WritePolicy effect) {
         PolicyVersion version = effect.version();
-        String key = versionKey(version.version());
-        platform.create(key, write(version))
+        String key = VersionedPolicySource.versionKey(version.version());
+        platform.create(key, Stored.write(version))
                 .thenCompose(created -> created.isPresent()
                         ? CompletableFuture.completedFuture(Optional.<PolicyVersion>empty())
                         : platform.get(key)
-                                .thenApply(found -> found.map(object -> read(object.value(), PolicyVersion.class))))
+                                .thenApply(
+                                        found -> found.map(object -> Stored.read(object.value(), PolicyVersion.class))))
                 .thenAccept(existing -> events.accept(new PlatformEvent.PolicyWritten(
                         version, existing.isPresent() ? CommitResult.EXISTS : CommitResult.CREATED, existing)))
                 .exceptionally(cause -> {
@@ -183,16 +153,20 @@
      * @param effect the policy
      */
     public void writeSnapshot(Effect.WriteSnapshot effect) {
-        byte[] value = write(effect.snapshot());
-        platform.get(SNAPSHOT)
+        byte[] value = Stored.write(effect.snapshot());
+        platform.get(VersionedPolicySource.SNAPSHOT)
                 .thenCompose(found -> {
                     if (found.isEmpty()) {
-                        return platform.create(SNAPSHOT, value);
+                        return platform.create(VersionedPolicySource.SNAPSHOT, value);
                     }
-                    long kept = read(found.get().value(), PolicySnapshot.class).version();
+                    long kept = Stored.read(found.get().value(), PolicySnapshot.class)
+                            .version();
                     return kept >= effect.snapshot().version()
                             ? CompletableFuture.completedFuture(OptionalLong.empty())
-                            : platform.update(SNAPSHOT, value, found.get().version());
+                            : platform.update(
+                                    VersionedPolicySource.SNAPSHOT,
+                                    value,
+                                    found.get().version());
                 })
                 .exceptionally(cause -> {
                     // Without it later nodes read more versions; nothing is lost.
@@ -210,7 +184,7 @@
      */
     public CompletableFuture<Boolean> announce(Member self) {
         String key = memberKey(self.id());
-        byte[] value = write(self);
+        byte[] value = Stored.write(self);
         return platform.create(key, value).thenCompose(created -> {
             if (created.isPresent()) {
                 return CompletableFuture.completedFuture(true);
@@ -234,7 +208,7 @@
                         ? platform.list(MEMBERS, "", MEMBER_SAMPLE, Duration.ZERO)
                         : CompletableFuture.completedFuture(found))
                 .thenAccept(objects -> events.accept(new PlatformEvent.MembersListed(objects.stream()
-                        .map(object -> read(object.value(), Member.class))
+                        .map(object -> Stored.read(object.value(), Member.class))
                         .toList())))
                 .exceptionally(cause -> {
                     LOGGER.debug("Members can't be read: {}", cause.toString());
@@ -253,7 +227,7 @@
         return platform.get(key)
                 .thenCompose(found -> {
                     boolean same = found.isPresent()
-                            && read(found.get().value(), Member.class).epoch()
+                            && Stored.read(found.get().value(), Member.class).epoch()
                                     == effect.member().epoch();
                     return same
                             ? platform.delete(key, found.get().version())
@@ -266,28 +240,7 @@
         return "rights/" + right;
     }
 
-    private static String versionKey(long version) {
-        return VERSIONS + String.format("%012d", version);
-    }
-
     private static String memberKey(NodeId node) {
         return MEMBERS + node.value();
     }
-
-    private static byte[] write(Object value) {
-        try {
-            return JSON.writeValueAsBytes(value);
-        } catch (IOException e) {
-            throw new IllegalStateException("can't write " + value.getClass(), e);
-        }
-    }
-
-    private static <T> T read(byte[] value, Class<T> type) {
-        try {
-            return JSON.readValue(value, type);
-        } catch (IOException e) {
-            throw new PlatformException(
-                    PlatformException.Code.BAD_ANSWER, "an object is not a " + type.getSimpleName());
-        }
-    }
 }
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/platform/Stored.java
@@ -0,0 +1,38 @@
+package org.heatherhaven.node.platform;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
+
+/** The form in which values are kept on the platform: JSON. */
+final class Stored {
+
+    private static final ObjectMapper JSON = new ObjectMapper()
+            .registerModule(new Jdk8Module())
+            .registerModule(new JavaTimeModule())
+            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES);
+
+    private Stored() {}
+
+    static byte[] write(Object value) {
+        try {
+            return JSON.writeValueAsBytes(value);
+        } catch (IOException e) {
+            throw new IllegalStateException("can't write " + value.getClass(), e);
+        }
+    }
+
+    /** Reads a value; throws PlatformException if the bytes are not of that type. */
+    static <T> T read(byte[] value, Class<T> type) {
+        try {
+            return JSON.readValue(value, type);
+        } catch (IOException e) {
+            throw new PlatformException(
+                    PlatformException.Code.BAD_ANSWER, "an object is not a " + type.getSimpleName());
+        }
+    }
+}
--- a/node/src/main/java/org/heatherhaven/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettings.java
@@ -34,7 +34,7 @@
 public record NodeSettings(
         Zone zone,
         InetSocketAddress callers,
-        InetSocketAddress targetCalls,
+        Optional<InetSocketAddress> targetCalls,
         InetSocketAddress peers,
         InetSocketAddress operators,
         Optional<String> operatorToken,
--- a/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
@@ -8,7 +8,10 @@
 
 import org.heatherhaven.core.logic.admission.AdmissionMode;
 import org.heatherhaven.core.logic.node.NodeRules;
+import org.heatherhaven.core.logic.node.NodeRules.DrainTimes;
+import org.heatherhaven.core.logic.node.NodeRules.KeyTrust;
 import org.heatherhaven.core.logic.once.OnceLogic.LedgerLimits;
+import org.heatherhaven.core.logic.retry.RetryLimits;
 import org.heatherhaven.core.logic.retry.RetryMode;
 import org.heatherhaven.core.logic.routing.RoutingMode;
 import org.heatherhaven.core.model.Zone;
@@ -48,16 +51,25 @@
         return read(TomlTable.read(path));
     }
 
-    static NodeSettings read(TomlTable root) {
+    /**
+     * Reads settings; tables that were read before are not refused as unknown.
+     *
+     * @param root the whole file
+     * @return the settings
+     * @throws SettingsException if anything in it can't be used
+     */
+    public static NodeSettings read(TomlTable root) {
         TomlTable place = root.table("place");
         Zone zone = new Zone(place.text("region"), place.text("zone"));
         TomlTable listen = root.table("listen");
         InetSocketAddress callers = listen.address("callers");
-        InetSocketAddress targetCalls = listen.address("target_calls");
+        Optional<InetSocketAddress> targetCalls = listen.optionalAddress("target_calls");
         InetSocketAddress peers = listen.address("peers");
         InetSocketAddress operators = listen.address("operators");
         Optional<String> token = listen.optionalText("operator_token");
-        if (!targetCalls.getAddress().isLoopbackAddress()) {
+        if (targetCalls
+                .filter(address -> !address.getAddress().isLoopbackAddress())
+                .isPresent()) {
             throw listen.bad("target_calls", "an address on loopback, for the node's own target only");
         }
         TargetSettings target = target(root.table("target"));
@@ -73,7 +85,7 @@
         int frameBytes = (int) limits.number("frame_bytes", MIN_BYTES, MAX_BYTES, Optional.of(DEFAULT_FRAME_BYTES));
         int mailbox = (int) limits.number("waiting_events", 1, MAX_COUNT, Optional.of(DEFAULT_MAILBOX));
         int threads = (int) limits.number("traffic_threads", 1, MAX_THREADS, Optional.of(DEFAULT_THREADS));
-        NodeRules rules = rules(root);
+        NodeRules rules = rules(root).withHomeService(target.service());
         Optional<TlsFiles> tls = tls(root.table("tls"));
         root.refuseUnknown();
         return new NodeSettings(
@@ -96,11 +108,13 @@
     }
 
     private static TargetSettings target(TomlTable table) {
+        boolean reports = table.flag("reports", false);
         return new TargetSettings(
                 table.text("service"),
                 table.address("address"),
-                (int) table.number("slots", 1, MAX_COUNT, Optional.empty()),
-                (int) table.number("connections", 1, MAX_COUNT, Optional.empty()));
+                (int) table.number("slots", 1, MAX_COUNT, reports ? Optional.of(1L) : Optional.empty()),
+                (int) table.number("connections", 1, MAX_COUNT, Optional.empty()),
+                reports);
     }
 
     private static List<String> secrets(TomlTable table) {
@@ -119,11 +133,37 @@
         Duration memory = millis(ledger, "memory_ms", defaults.ledger().memory().toMillis());
         int keys = (int) ledger.number(
                 "keys", 1, MAX_COUNT, Optional.of((long) defaults.ledger().keys()));
+        boolean prepared = ledger.flag("prepared", defaults.ledger().prepared());
         return defaults.withModes(
                         strategy.constant("admission", AdmissionMode.class, Optional.of(defaults.admission())),
                         strategy.constant("routing", RoutingMode.class, Optional.of(defaults.routing())),
                         strategy.constant("retry", RetryMode.class, Optional.of(defaults.retry())))
-                .withLedger(new LedgerLimits(memory, keys));
+                .withLedger(new LedgerLimits(memory, keys, prepared))
+                .withLimits(retryLimits(root), keyTrust(root), drainTimes(root));
+    }
+
+    private static RetryLimits retryLimits(TomlTable root) {
+        TomlTable retries = root.table("retries");
+        RetryLimits defaults = RetryLimits.DEFAULT;
+        return new RetryLimits(
+                retries.decimal("earned_per_call", 0, 1, defaults.earnedPerCall()),
+                retries.decimal("credit", 0, MAX_COUNT, defaults.credit()));
+    }
+
+    private static KeyTrust keyTrust(TomlTable root) {
+        TomlTable keys = root.table("keys");
+        KeyTrust defaults = NodeRules.defaults(DEFAULT_SEED).keyTrust();
+        return new KeyTrust(
+                millis(keys, "trusted_for_ms", defaults.limit().toMillis()),
+                keys.flag("peers_vouch", defaults.peersVouch()));
+    }
+
+    private static DrainTimes drainTimes(TomlTable root) {
+        TomlTable drain = root.table("drain");
+        DrainTimes defaults = NodeRules.defaults(DEFAULT_SEED).drain();
+        return new DrainTimes(
+                millis(drain, "grace_ms", defaults.grace().toMillis()),
+                millis(drain, "limit_ms", defaults.limit().toMillis()));
     }
 
     private static Duration millis(TomlTable table, String key, long fallback) {
--- a/node/src/main/java/org/heatherhaven/node/settings/TomlTable.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/TomlTable.java
@@ -202,6 +202,25 @@
                 .orElseThrow(() -> missing(key, "a number"));
     }
 
+    /**
+     * Reads a number within bounds.
+     *
+     * @param key its name
+     * @param min smallest value allowed
+     * @param max largest value allowed
+     * @param fallback the value if it is not there
+     * @return the number
+     */
+    public double decimal(String key, double min, double max, double fallback) {
+        String expected = "a number from " + min + " to " + max;
+        double found =
+                value(key, JsonNode::isNumber, expected).map(JsonNode::asDouble).orElse(fallback);
+        if (found < min || found > max) {
+            throw bad(key, expected);
+        }
+        return found;
+    }
+
     /**
      * Reads a constant, written in lower case with hyphens.
      *
@@ -251,6 +270,16 @@
         }
     }
 
+    /**
+     * Reads an address that may be left out.
+     *
+     * @param key its name
+     * @return the address, if it is there
+     */
+    public Optional<InetSocketAddress> optionalAddress(String key) {
+        return node.path(key).isMissingNode() ? Optional.empty() : Optional.of(address(key));
+    }
+
     private Optional<JsonNode> value(String key, Function<JsonNode, Boolean> fits, String expected) {
         read.add(key);
         JsonNode value = node.path(key);
--- a/node/src/main/java/org/heatherhaven/node/target/GuardedCall.java
+++ b/node/src/main/java/org/heatherhaven/node/target/GuardedCall.java
@@ -1,18 +1,13 @@
 package org.heatherhaven.node.target;
 
-import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeoutException;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.handler.codec.http.HttpHeaders;
-import org.asynchttpclient.ListenableFuture;
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.event.Event;
 import org.heatherhaven.core.event.OfferKey;
@@ -22,7 +17,6 @@
 import org.heatherhaven.core.model.Header;
 import org.heatherhaven.core.model.Signal;
 import org.heatherhaven.node.control.Mailbox;
-import org.heatherhaven.node.http.EndToEnd;
 import org.heatherhaven.node.peer.OfferedCall;
 import org.heatherhaven.node.peer.Windows;
 import org.heatherhaven.node.wire.AnswerEnd;
@@ -35,52 +29,60 @@
 /** A call between a peer's connection and the target. Its fields belong to the connection's event loop. */
 final class GuardedCall implements OfferedCall {
 
+    /** A smaller answer is passed on once it is whole, so that one that breaks off can be asked for again. */
+    private static final int HELD_ANSWER_BYTES = 64 * 1024;
+
     private final OfferKey key;
     private final CallHead head;
-    private final Optional<TargetBody> body;
+    private final boolean hasBody;
     private final Channel channel;
     private final Mailbox<Event> mailbox;
     private final Runnable forget;
     private final Deque<ByteBuf> unsent = new ArrayDeque<>();
+    private final Deque<ByteBuf> unfed = new ArrayDeque<>();
     private int window = Windows.BODY_WINDOW_BYTES;
+    private int held;
+    private Optional<AnswerHead> heldHead = Optional.empty();
     private boolean answered;
+    private boolean bodyEnded;
     private boolean over;
     private Optional<AnswerEnd> end = Optional.empty();
-    private TargetAnswer answer;
-    private ListenableFuture<Void> running;
-    private volatile boolean aborted;
+    private Optional<TargetExchange> exchange = Optional.empty();
 
     GuardedCall(OfferKey key, OfferHead offer, Channel channel, Mailbox<Event> mailbox, Runnable forget) {
         this.key = key;
         this.head = offer.call();
+        this.hasBody = offer.hasBody();
         this.channel = channel;
         this.mailbox = mailbox;
         this.forget = forget;
-        this.body = offer.hasBody()
-                ? Optional.of(new TargetBody(EndToEnd.contentLength(head.headers()), this::grant))
-                : Optional.empty();
-    }
-
-    CallHead head() {
-        return head;
     }
 
-    private void grant(int bytes) {
-        channel.writeAndFlush(Frame.of(FrameType.CREDIT, key.stream(), bytes));
+    private void onLoop(Runnable action) {
+        if (channel.eventLoop().inEventLoop()) {
+            action.run();
+        } else {
+            channel.eventLoop().execute(action);
+        }
     }
 
     @Override
     public void chunk(ByteBuf data) {
-        if (body.isEmpty() || over) {
+        if (!hasBody || over) {
             data.release();
             return;
         }
-        body.get().feed(data, false);
+        if (exchange.isPresent()) {
+            exchange.get().feed(data);
+        } else {
+            unfed.add(data);
+        }
     }
 
     @Override
     public void bodyEnded() {
-        body.ifPresent(bytes -> bytes.feed(Unpooled.EMPTY_BUFFER, true));
+        bodyEnded = true;
+        exchange.ifPresent(TargetExchange::endBody);
     }
 
     @Override
@@ -100,30 +102,27 @@
     }
 
     /** Hands the call to the target; called by the control thread. */
-    void run(Effect.RunOffer effect, TargetClient target) {
+    void run(Effect.RunOffer effect, TargetConnections connections) {
         channel.eventLoop().execute(() -> {
             if (!channel.isActive()) {
                 // The peer is gone, and with it whoever would take the answer: nothing needs to run.
-                finishWithoutTarget();
+                mailbox.put(new TrafficEvent.TargetEnded(key, TargetResult.NOT_SENT));
                 return;
             }
-            answer = new TargetAnswer(this);
-            running = target.send(head, body, effect.context(), effect.timeout(), answer);
+            TargetExchange sent =
+                    connections.send(head, hasBody, effect.target(), effect.context(), effect.timeout(), new Answer());
+            exchange = Optional.of(sent);
+            unfed.forEach(sent::feed);
+            unfed.clear();
+            if (bodyEnded) {
+                sent.endBody();
+            }
         });
     }
 
-    private void finishWithoutTarget() {
-        mailbox.put(new TrafficEvent.TargetEnded(key, TargetResult.NOT_SENT));
-    }
-
     /** Cancels the call at the target; called by the control thread. */
     void abort() {
-        aborted = true;
-        channel.eventLoop().execute(() -> {
-            if (running != null) {
-                running.abort(new TimeoutException("cancelled"));
-            }
-        });
+        channel.eventLoop().execute(() -> exchange.ifPresent(TargetExchange::abort));
     }
 
     /** Refuses the call; called by the control thread. */
@@ -144,7 +143,10 @@
     }
 
     private void finishAnswer(AnswerEnd last) {
-        if (!last.whole()) {
+        if (last.whole()) {
+            releaseHeld();
+        } else {
+            heldHead = Optional.empty();
             unsent.forEach(ByteBuf::release);
             unsent.clear();
         }
@@ -152,41 +154,16 @@
         flush();
     }
 
-    void targetAnswered(int status, HttpHeaders headers) {
-        List<Header> kept = EndToEnd.headers(headers);
-        channel.eventLoop().execute(() -> {
+    private void releaseHeld() {
+        heldHead.ifPresent(answer -> {
+            heldHead = Optional.empty();
             answered = true;
-            channel.writeAndFlush(Frame.of(FrameType.ANSWER, key.stream(), new AnswerHead(status, kept)));
+            write(Frame.of(FrameType.ANSWER, key.stream(), answer));
         });
     }
 
-    void targetSent(ByteBuf data) {
-        channel.eventLoop().execute(() -> {
-            if (over) {
-                data.release();
-                return;
-            }
-            unsent.add(data);
-            flush();
-        });
-    }
-
-    void targetCompleted(boolean overloaded) {
-        // Behind the pieces of the answer on the same event loop, so that the end can't overtake them.
-        channel.eventLoop()
-                .execute(() -> mailbox.put(new TrafficEvent.TargetEnded(
-                        key, overloaded ? TargetResult.OVERLOADED : TargetResult.ANSWERED)));
-    }
-
-    void targetFailed(Throwable cause) {
-        TargetResult result = cause instanceof ConnectException
-                ? TargetResult.NOT_SENT
-                : aborted || cause instanceof TimeoutException ? TargetResult.ABORTED : TargetResult.FAILED;
-        channel.eventLoop().execute(() -> mailbox.put(new TrafficEvent.TargetEnded(key, result)));
-    }
-
     private void flush() {
-        if (over) {
+        if (over || heldHead.isPresent()) {
             return;
         }
         while (!unsent.isEmpty() && window > 0) {
@@ -201,12 +178,11 @@
             window -= data.readableBytes();
             write(Frame.chunk(key.stream(), data));
         }
-        channel.flush();
-        if (answer != null) {
-            answer.setReading(unsent.isEmpty());
-        }
+        exchange.ifPresent(sent -> sent.setReading(unsent.isEmpty()));
         if (unsent.isEmpty() && end.isPresent()) {
             close(Frame.of(FrameType.END, key.stream(), end.get()));
+        } else {
+            channel.flush();
         }
     }
 
@@ -220,7 +196,44 @@
         forget.run();
         unsent.forEach(ByteBuf::release);
         unsent.clear();
-        body.ifPresent(TargetBody::release);
-        channel.writeAndFlush(last);
+        unfed.forEach(ByteBuf::release);
+        unfed.clear();
+        channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    /** Hears the target, and moves what it hears to the peer connection's event loop. */
+    private final class Answer implements AnswerListener {
+
+        @Override
+        public void answered(int status, List<Header> headers) {
+            onLoop(() -> heldHead = Optional.of(new AnswerHead(status, headers)));
+        }
+
+        @Override
+        public void received(ByteBuf data) {
+            onLoop(() -> {
+                if (over) {
+                    data.release();
+                    return;
+                }
+                unsent.add(data);
+                held += data.readableBytes();
+                if (held > HELD_ANSWER_BYTES) {
+                    releaseHeld();
+                    flush();
+                }
+            });
+        }
+
+        @Override
+        public void bodyTaken(int bytes) {
+            onLoop(() -> channel.writeAndFlush(Frame.of(FrameType.CREDIT, key.stream(), bytes)));
+        }
+
+        @Override
+        public void over(TargetResult result) {
+            // Behind the pieces of the answer on the same event loop, so that the end can't overtake them.
+            onLoop(() -> mailbox.put(new TrafficEvent.TargetEnded(key, result)));
+        }
     }
 }
--- a/node/src/main/java/org/heatherhaven/node/target/GuardedCalls.java
+++ b/node/src/main/java/org/heatherhaven/node/target/GuardedCalls.java
@@ -70,7 +70,7 @@
      * @param effect which call, and how long it may take
      * @param target the target
      */
-    public void run(Effect.RunOffer effect, TargetClient target) {
+    public void run(Effect.RunOffer effect, TargetConnections target) {
         find(effect.key()).ifPresent(call -> call.run(effect, target));
     }
 
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
@@ -0,0 +1,141 @@
+package org.heatherhaven.node.target;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import org.heatherhaven.core.model.CallHead;
+import org.heatherhaven.core.model.TargetRef;
+import org.heatherhaven.node.http.CallDialect;
+
+/** Sends calls to the target over connections that are kept for the calls that follow. */
+public final class TargetConnections {
+
+    private static final Duration CONNECT_LIMIT = Duration.ofMillis(300);
+    private static final int MAX_LINE_CHARS = 8 * 1024;
+    private static final int MAX_HEADER_BYTES = 64 * 1024;
+    private static final int MAX_CHUNK_BYTES = 32 * 1024;
+    private static final Duration IDLE_LIMIT = Duration.ofSeconds(4);
+
+    /** A call that must not run twice is lost if the target closes the connection under it. */
+    private static final Duration IDLE_LIMIT_UNREPEATABLE = Duration.ofSeconds(1);
+
+    private final CallDialect dialect;
+    private final EventLoop loop;
+    private final InstantSource clock;
+    private final Deque<TargetConnection> idle = new ArrayDeque<>();
+
+    /**
+     * Creates a set without connections.
+     *
+     * @param dialect how the target is spoken to
+     * @param loop event loop of all its connections
+     * @param clock the clock
+     */
+    public TargetConnections(CallDialect dialect, EventLoop loop, InstantSource clock) {
+        this.dialect = dialect;
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param head the call
+     * @param hasBody true if a body will be fed
+     * @param target the process life that shall run it
+     * @param context context id for the target's own calls
+     * @param timeout time left
+     * @param listener hears the answer
+     * @return the call at the target
+     */
+    public TargetExchange send(
+            CallHead head,
+            boolean hasBody,
+            TargetRef target,
+            String context,
+            Duration timeout,
+            AnswerListener listener) {
+        TargetExchange exchange = new TargetExchange(loop, dialect, head, hasBody, target, context, timeout, listener);
+        loop.execute(() -> {
+            exchange.startTimer(timeout);
+            connect(exchange, target);
+        });
+        return exchange;
+    }
+
+    private void connect(TargetExchange exchange, TargetRef target) {
+        Duration limit = exchange.head().unrepeatable() ? IDLE_LIMIT_UNREPEATABLE : IDLE_LIMIT;
+        while (!idle.isEmpty()) {
+            TargetConnection kept = idle.peekFirst();
+            boolean usable = kept.target().equals(target) && kept.fresh(limit);
+            if (!usable && kept.target().equals(target) && kept.fresh(IDLE_LIMIT)) {
+                // Younger than any other: all that follow are too old for this call, though not for others.
+                break;
+            }
+            idle.removeFirst();
+            if (usable) {
+                kept.start(exchange);
+                return;
+            }
+            kept.close();
+        }
+        open(exchange, target);
+    }
+
+    private void open(TargetExchange exchange, TargetRef target) {
+        TargetConnection connection = new TargetConnection(target, this, clock);
+        int colon = target.address().lastIndexOf(':');
+        InetSocketAddress address = new InetSocketAddress(
+                target.address().substring(0, colon),
+                Integer.parseInt(target.address().substring(colon + 1)));
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_LIMIT.toMillis())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline()
+                                .addLast(new HttpClientCodec(MAX_LINE_CHARS, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(connection);
+                    }
+                })
+                .connect(address)
+                .addListener(done -> {
+                    if (!done.isSuccess()) {
+                        exchange.notConnected();
+                    } else if (exchange.over()) {
+                        connection.close();
+                    } else {
+                        connection.start(exchange);
+                    }
+                });
+    }
+
+    void idle(TargetConnection connection) {
+        idle.addFirst(connection);
+    }
+
+    void closed(TargetConnection connection) {
+        idle.remove(connection);
+    }
+
+    /** Closes the connections that no call uses. */
+    public void close() {
+        loop.execute(() -> {
+            idle.forEach(TargetConnection::close);
+            idle.clear();
+        });
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
@@ -0,0 +1,225 @@
+package org.heatherhaven.node.target;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.heatherhaven.core.event.TrafficEvent.TargetResult;
+import org.heatherhaven.core.model.CallHead;
+import org.heatherhaven.core.model.Header;
+import org.heatherhaven.core.model.TargetRef;
+import org.heatherhaven.node.http.AnswerVerdict;
+import org.heatherhaven.node.http.CallDialect;
+import org.heatherhaven.node.http.EndToEnd;
+
+/** One call at the target, from its request to the end of its answer. Its fields belong to one event loop. */
+public final class TargetExchange {
+
+    private final EventLoop loop;
+    private final CallDialect dialect;
+    private final CallHead head;
+    private final boolean hasBody;
+    private final HttpRequest request;
+    private final AnswerListener listener;
+    private final Deque<ByteBuf> unsent = new ArrayDeque<>();
+    private Optional<TargetConnection> connection = Optional.empty();
+    private Optional<Future<?>> timer = Optional.empty();
+    private boolean bodyComplete;
+    private boolean requestSent;
+    private boolean wantsReading = true;
+    private boolean skipping;
+    private boolean spoiled;
+    private Optional<TargetResult> refusal = Optional.empty();
+    private boolean over;
+
+    TargetExchange(
+            EventLoop loop,
+            CallDialect dialect,
+            CallHead head,
+            boolean hasBody,
+            TargetRef target,
+            String context,
+            Duration timeout,
+            AnswerListener listener) {
+        this.loop = loop;
+        this.dialect = dialect;
+        this.head = head;
+        this.hasBody = hasBody;
+        this.listener = listener;
+        this.bodyComplete = !hasBody;
+        this.request =
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(head.method()), head.path(), false);
+        fillHeaders(request.headers(), target, context, timeout);
+    }
+
+    private void fillHeaders(HttpHeaders headers, TargetRef target, String context, Duration timeout) {
+        for (Header header : head.headers()) {
+            headers.add(header.name(), header.value());
+        }
+        if (hasBody && EndToEnd.contentLength(head.headers()) < 0) {
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        dialect.addForTarget(headers, head, target, context, timeout);
+    }
+
+    CallHead head() {
+        return head;
+    }
+
+    boolean over() {
+        return over;
+    }
+
+    void startTimer(Duration timeout) {
+        timer = Optional.of(
+                loop.schedule(() -> end(TargetResult.ABORTED, false), timeout.toMillis(), TimeUnit.MILLISECONDS));
+    }
+
+    /**
+     * Adds a piece of the request's body.
+     *
+     * @param data the bytes, owned by the exchange
+     */
+    public void feed(ByteBuf data) {
+        onLoop(() -> {
+            if (over) {
+                data.release();
+                return;
+            }
+            unsent.add(data);
+            pump();
+        });
+    }
+
+    /** Ends the request's body. */
+    public void endBody() {
+        onLoop(() -> {
+            bodyComplete = true;
+            pump();
+        });
+    }
+
+    /**
+     * Stops or resumes reading the answer.
+     *
+     * @param reading true to read
+     */
+    public void setReading(boolean reading) {
+        onLoop(() -> {
+            wantsReading = reading;
+            connection.ifPresent(open -> open.setReading(reading));
+        });
+    }
+
+    /** Cancels the call: its connection is closed, so that the target drops it. */
+    public void abort() {
+        onLoop(() -> end(TargetResult.ABORTED, false));
+    }
+
+    private void onLoop(Runnable action) {
+        if (loop.inEventLoop()) {
+            action.run();
+        } else {
+            loop.execute(action);
+        }
+    }
+
+    /** The connection is open: the request goes out. */
+    void started(TargetConnection open) {
+        connection = Optional.of(open);
+        open.setReading(wantsReading);
+        open.write(request);
+        pump();
+        open.flush();
+    }
+
+    private void pump() {
+        if (connection.isEmpty() || requestSent) {
+            return;
+        }
+        TargetConnection open = connection.get();
+        while (!unsent.isEmpty()) {
+            ByteBuf data = unsent.poll();
+            int bytes = data.readableBytes();
+            open.write(new DefaultHttpContent(data), () -> listener.bodyTaken(bytes));
+        }
+        if (bodyComplete) {
+            requestSent = true;
+            open.write(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+        open.flush();
+    }
+
+    /** No connection could be made: nothing was sent. */
+    void notConnected() {
+        end(TargetResult.NOT_SENT, false);
+    }
+
+    /** The connection was closed or its bytes make no sense. */
+    void broken() {
+        end(TargetResult.FAILED, false);
+    }
+
+    void received(HttpResponse response) {
+        AnswerVerdict verdict = dialect.judge(head, response.status().code(), response.headers());
+        switch (verdict) {
+            case ANSWER -> {
+                List<Header> headers = dialect.answerHeaders(response.headers());
+                listener.answered(response.status().code(), headers);
+            }
+            case FOREIGN -> {
+                skipping = true;
+                spoiled = true;
+            }
+            case OVERLOADED -> refusal = Optional.of(TargetResult.OVERLOADED);
+            case NOT_RUN -> refusal = Optional.of(TargetResult.REFUSED);
+            case REPLACED -> refusal = Optional.of(TargetResult.REPLACED);
+            default -> broken();
+        }
+    }
+
+    void received(ByteBuf data) {
+        if (over || skipping || refusal.isPresent() || !data.isReadable()) {
+            data.release();
+            return;
+        }
+        listener.received(data);
+    }
+
+    /** The end of an answer was received; the answer to this call may still follow one to another. */
+    void receivedLast() {
+        if (skipping) {
+            skipping = false;
+            return;
+        }
+        end(refusal.orElse(TargetResult.ANSWERED), requestSent && !spoiled);
+    }
+
+    private void end(TargetResult result, boolean reusable) {
+        if (over) {
+            return;
+        }
+        over = true;
+        timer.ifPresent(task -> task.cancel(false));
+        unsent.forEach(ByteBuf::release);
+        unsent.clear();
+        connection.ifPresent(open -> open.exchangeOver(reusable));
+        listener.over(result);
+    }
+}
--- a/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
+++ b/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
@@ -88,9 +88,11 @@
         CallHead head = new CallHead(
                 "id",
                 "root",
+                "host",
                 "POST",
                 "/x?y=z",
                 List.of(new Header("a", "b")),
+                "bookings",
                 "pricing",
                 "quote",
                 "banquets",
--- a/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
@@ -114,12 +114,16 @@
         return new NodeSettings(
                 new Zone(deployment.region(), "zone-" + unit.zone),
                 unit.ports.get(0),
-                unit.ports.get(1),
+                Optional.of(unit.ports.get(1)),
                 unit.ports.get(2),
                 unit.ports.get(3),
                 Optional.empty(),
                 new TargetSettings(
-                        unit.service.name(), unit.ports.get(4), unit.service.slots(), unit.service.connections()),
+                        unit.service.name(),
+                        unit.ports.get(4),
+                        unit.service.slots(),
+                        unit.service.connections(),
+                        false),
                 platformUrl,
                 PLATFORM_TIMEOUT,
                 List.of("a-secret-for-measurements"),
--- a/standin/src/main/java/org/heatherhaven/standin/measure/Slopes.java
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Slopes.java
@@ -253,6 +253,8 @@
         long began = System.nanoTime();
         for (int i = 1; i <= CALLS; i++) {
             TrafficEvent.CallRequest request = new TrafficEvent.CallRequest(
+                    Optional.empty(),
+                    "",
                     "GET",
                     "/open/x",
                     List.of(),
@@ -271,7 +273,22 @@
     private static double offers(NodeState start) {
         NodeState state = start;
         CallHead head = new CallHead(
-                "r", "root", "GET", "/x", List.of(), "service-0", "open", "", Importance.NORMAL, 0, 1_000, 1, false, 1);
+                "r",
+                "root",
+                "",
+                "GET",
+                "/x",
+                List.of(),
+                "",
+                "service-0",
+                "open",
+                "",
+                Importance.NORMAL,
+                0,
+                1_000,
+                1,
+                false,
+                1);
         long began = System.nanoTime();
         for (int i = 1; i <= CALLS; i++) {
             OfferKey key = new OfferKey(1, i);
