--- a/core/src/main/java/org/heatherhaven/core/event/PlatformEvent.java
+++ b/core/src/main/java/org/heatherhaven/core/event/PlatformEvent.java
@@ -65,6 +65,13 @@
     record PolicyWritten(PolicyVersion version, CommitResult result, Optional<PolicyVersion> existing)
             implements PlatformEvent {}
 
+    /**
+     * This node was announced.
+     *
+     * @param replaced true if an earlier process of this node was still announced
+     */
+    record SelfAnnounced(boolean replaced) implements PlatformEvent {}
+
     /**
      * Announced members were read, to join the fleet through them.
      *
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
@@ -399,6 +399,11 @@
 
     private static MembershipState aboutSelf(MembershipState state, Member account) {
         Member self = state.self();
+        if (account.epoch() > self.epoch()) {
+            // The clock stood behind when this process started: without a later start nobody would believe it.
+            Member later = self.startedAt(account.epoch() + 1);
+            return addNews(state.withMember(later), later);
+        }
         if (account.epoch() != self.epoch() || !account.supersedes(self)) {
             return state;
         }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
@@ -33,6 +33,7 @@
 import org.heatherhaven.core.logic.admission.GuardLogic;
 import org.heatherhaven.core.logic.admission.Running;
 import org.heatherhaven.core.logic.membership.MembershipLogic;
+import org.heatherhaven.core.logic.placement.PlacementLogic;
 import org.heatherhaven.core.logic.policy.PolicyLogic;
 import org.heatherhaven.core.logic.policy.PolicyState;
 import org.heatherhaven.core.logic.rights.RightsLogic;
@@ -145,6 +146,10 @@
             step.policy = PolicyLogic.readFailed(step.policy, step.now);
         } else if (event instanceof PolicyWritten written) {
             step.policy = PolicyLogic.written(step.policy, written, step.now, step.out);
+        } else if (event instanceof PlatformEvent.SelfAnnounced announced) {
+            if (announced.replaced()) {
+                step.placement = PlacementLogic.knownBefore(step.placement, step.now);
+            }
         } else if (event instanceof MembersListed listed) {
             step.fleet = MembershipLogic.listed(step.fleet, listed.members(), step.now, step.out);
         }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeRules.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeRules.java
@@ -14,6 +14,7 @@
  * @param admission way of guarding the target
  * @param routing way of choosing targets
  * @param retry way of retrying
+ * @param quota way of dividing the teams' rates
  * @param retryLimits this node's part of each service's retry budget
  * @param ledger sizes of the idempotency ledgers
  * @param maxCalls calls under way at which new ones are refused
@@ -27,6 +28,7 @@
         AdmissionMode admission,
         RoutingMode routing,
         RetryMode retry,
+        QuotaMode quota,
         RetryLimits retryLimits,
         LedgerLimits ledger,
         int maxCalls,
@@ -71,6 +73,7 @@
                 AdmissionMode.FAIR_SHED,
                 RoutingMode.TWO_CHOICES,
                 RetryMode.BUDGET,
+                QuotaMode.PLACED,
                 RetryLimits.DEFAULT,
                 new LedgerLimits(LEDGER_MEMORY, LEDGER_KEYS),
                 MAX_CALLS,
@@ -94,6 +97,7 @@
                 nextAdmission,
                 nextRouting,
                 nextRetry,
+                quota,
                 retryLimits,
                 ledger,
                 maxCalls,
@@ -115,6 +119,7 @@
                 admission,
                 routing,
                 retry,
+                quota,
                 retryLimits,
                 next,
                 maxCalls,
@@ -138,6 +143,7 @@
                 admission,
                 routing,
                 retry,
+                quota,
                 nextRetryLimits,
                 ledger,
                 maxCalls,
@@ -156,6 +162,39 @@
      */
     public NodeRules withHomeService(String next) {
         return new NodeRules(
-                admission, routing, retry, retryLimits, ledger, maxCalls, maxChildren, keyTrust, drain, next, seed);
+                admission,
+                routing,
+                retry,
+                quota,
+                retryLimits,
+                ledger,
+                maxCalls,
+                maxChildren,
+                keyTrust,
+                drain,
+                next,
+                seed);
+    }
+
+    /**
+     * Copies these rules with another way of dividing the teams' rates.
+     *
+     * @param next the way
+     * @return the changed rules
+     */
+    public NodeRules withQuota(QuotaMode next) {
+        return new NodeRules(
+                admission,
+                routing,
+                retry,
+                next,
+                retryLimits,
+                ledger,
+                maxCalls,
+                maxChildren,
+                keyTrust,
+                drain,
+                homeService,
+                seed);
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
@@ -8,6 +8,8 @@
 import org.heatherhaven.core.logic.call.CallsState;
 import org.heatherhaven.core.logic.membership.MembershipState;
 import org.heatherhaven.core.logic.once.OnceState;
+import org.heatherhaven.core.logic.placement.PlacementLogic;
+import org.heatherhaven.core.logic.placement.PlacementState;
 import org.heatherhaven.core.logic.policy.PolicyState;
 import org.heatherhaven.core.logic.pressure.PressureState;
 import org.heatherhaven.core.logic.quota.QuotaState;
@@ -33,6 +35,7 @@
  * @param calls calls that entered here
  * @param rights exclusive rights
  * @param quota tokens lent and borrowed
+ * @param placement the members that own shares of rates
  * @param once idempotency ledgers
  * @param incoming hand-overs that are arriving
  * @param drainingSince when the drain began
@@ -53,6 +56,7 @@
         CallsState calls,
         RightsState rights,
         QuotaState quota,
+        PlacementState placement,
         OnceState once,
         PMap<RightId, Incoming> incoming,
         Optional<Instant> drainingSince,
@@ -96,6 +100,7 @@
                 CallsState.EMPTY,
                 RightsState.start(self.owner(), now),
                 QuotaState.start(now),
+                PlacementState.start(now.plus(PlacementLogic.SETTLE)),
                 OnceState.EMPTY,
                 HashTreePMap.empty(),
                 Optional.empty(),
--- a/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
@@ -1,13 +1,16 @@
 package org.heatherhaven.core.logic.node;
 
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 
 import org.heatherhaven.core.logic.membership.MembershipLogic;
 import org.heatherhaven.core.logic.once.OnceLogic;
+import org.heatherhaven.core.logic.placement.PlacementLogic;
 import org.heatherhaven.core.logic.policy.PolicyLogic;
 import org.heatherhaven.core.logic.quota.Borrowing;
 import org.heatherhaven.core.logic.quota.Lending;
+import org.heatherhaven.core.logic.quota.ShareOwners;
 import org.heatherhaven.core.logic.rights.RightsLogic;
 import org.heatherhaven.core.message.HandOver;
 import org.heatherhaven.core.message.LoanAsk;
@@ -25,6 +28,7 @@
 import org.heatherhaven.core.message.ProbeRequest;
 import org.heatherhaven.core.message.PromiseAsk;
 import org.heatherhaven.core.message.PromiseGive;
+import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.RightId;
 import org.heatherhaven.core.model.Team;
@@ -44,6 +48,7 @@
         } else if (message instanceof MembersPull pull) {
             step.fleet = MembershipLogic.answerPull(step.fleet, pull, step.now, step.out);
         } else if (message instanceof MembersPage page) {
+            noticeFormerSelf(step, page.members());
             step.fleet = MembershipLogic.page(step.fleet, page, step.now, step.out);
         } else if (message instanceof PolicyPull pull) {
             PolicyLogic.answerPull(step.policy, pull, step.out);
@@ -81,6 +86,16 @@
                 step.out);
     }
 
+    /** Peers that know an earlier process of this node count with it. */
+    private static void noticeFormerSelf(Step step, List<Member> accounts) {
+        Member self = step.fleet.self();
+        boolean former = accounts.stream()
+                .anyMatch(account -> account.id().equals(self.id()) && account.epoch() != self.epoch());
+        if (former) {
+            step.placement = PlacementLogic.knownBefore(step.placement, step.now);
+        }
+    }
+
     private static void onRights(Step step, PeerMessage message) {
         if (message instanceof PromiseAsk ask) {
             step.rights = RightsLogic.asked(step.rights, ask, step.now, step.out);
@@ -104,15 +119,18 @@
     }
 
     private static void onLoanAsk(Step step, LoanAsk ask) {
-        seekIfUnusable(step, ask.right());
-        Optional<Team> team =
-                Optional.ofNullable(step.policy.policy().teams().get(ask.right().name()));
-        step.quota =
-                Lending.asked(step.quota, step.rights, team, ask, whereElse(step, ask.right()), step.now, step.out);
+        if (step.rules.quota() == QuotaMode.LEASED) {
+            seekIfUnusable(step, ask.right());
+        }
+        ShareOwners owners = step.shareOwners();
+        Optional<Team> team = Optional.ofNullable(
+                        step.policy.policy().teams().get(ask.right().name()))
+                .map(owners::divided);
+        step.quota = Lending.asked(step.quota, owners, team, ask, step.now, step.out);
     }
 
     private static void onLoanGrant(Step step, LoanGrant grant) {
-        if (!grant.held()) {
+        if (!grant.held() && step.rules.quota() == QuotaMode.LEASED) {
             step.rights = RightsLogic.located(step.rights, grant.right(), grant.askInstead());
         }
         Team team = step.policy.policy().teams().get(grant.right().name());
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
@@ -11,6 +11,7 @@
 import org.heatherhaven.core.logic.policy.PolicyState;
 import org.heatherhaven.core.logic.quota.Borrowing;
 import org.heatherhaven.core.logic.quota.Lending;
+import org.heatherhaven.core.logic.quota.ShareOwners;
 import org.heatherhaven.core.logic.rights.Placement;
 import org.heatherhaven.core.logic.rights.RightsLogic;
 import org.heatherhaven.core.logic.routing.RoutingLogic;
@@ -46,7 +47,8 @@
             step.out.add(new Effect.Send(neighbour, new PolicyPage(whole, fresh)));
         }
         for (Team team : policy.teams().values()) {
-            if (team.limited() && !before.policy().teams().containsKey(team.name())) {
+            boolean leased = step.rules.quota() == QuotaMode.LEASED;
+            if (leased && team.limited() && !before.policy().teams().containsKey(team.name())) {
                 prepare(step, RightId.Kind.SHARE, team.name(), team.shares());
             }
         }
@@ -84,13 +86,22 @@
     }
 
     static void tickHoldings(Step step) {
+        tickBuckets(step);
+        step.once = OnceLogic.tick(step.once, step.rules.ledger(), step.now);
+        step.quota = Borrowing.tick(step.quota, step.policy.policy().teams(), step.borrowing(), step.out);
+    }
+
+    private static void tickBuckets(Step step) {
+        ShareOwners owners = step.shareOwners();
         for (RightId right : step.quota.buckets().keySet()) {
             Team team = step.policy.policy().teams().get(right.name());
-            if (team != null) {
-                step.quota = Lending.tick(step.quota, right, team, step.now);
+            boolean lost = step.rules.quota() == QuotaMode.PLACED
+                    && owners.ownerOf(right).filter(step.self()::equals).isEmpty();
+            if (lost) {
+                step.quota = Lending.closed(step.quota, right);
+            } else if (team != null) {
+                step.quota = Lending.tick(step.quota, right, owners.divided(team), step.now);
             }
         }
-        step.once = OnceLogic.tick(step.once, step.rules.ledger(), step.now);
-        step.quota = Borrowing.tick(step.quota, step.policy.policy().teams(), step.borrowing(), step.out);
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
@@ -13,10 +13,15 @@
 import org.heatherhaven.core.logic.call.CallsState;
 import org.heatherhaven.core.logic.membership.MembershipState;
 import org.heatherhaven.core.logic.once.OnceState;
+import org.heatherhaven.core.logic.placement.PlacedShares;
+import org.heatherhaven.core.logic.placement.PlacementLogic;
+import org.heatherhaven.core.logic.placement.PlacementState;
 import org.heatherhaven.core.logic.policy.PolicyState;
 import org.heatherhaven.core.logic.pressure.PressureState;
 import org.heatherhaven.core.logic.quota.Borrowing;
+import org.heatherhaven.core.logic.quota.LeasedShares;
 import org.heatherhaven.core.logic.quota.QuotaState;
+import org.heatherhaven.core.logic.quota.ShareOwners;
 import org.heatherhaven.core.logic.registration.RegistrationState;
 import org.heatherhaven.core.logic.rights.RightsState;
 import org.heatherhaven.core.logic.routing.RoutingState;
@@ -24,6 +29,7 @@
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.RightId;
 import org.heatherhaven.core.model.TargetReport;
+import org.heatherhaven.core.model.Team;
 import org.pcollections.PMap;
 
 /** The parts of a node's state while one event is worked on; never leaves the step. */
@@ -41,6 +47,7 @@
     CallsState calls;
     RightsState rights;
     QuotaState quota;
+    PlacementState placement;
     OnceState once;
     PMap<RightId, Incoming> incoming;
     Optional<Instant> drainingSince;
@@ -61,6 +68,7 @@
         this.calls = state.calls();
         this.rights = state.rights();
         this.quota = state.quota();
+        this.placement = state.placement();
         this.once = state.once();
         this.incoming = state.incoming();
         this.drainingSince = state.drainingSince();
@@ -82,6 +90,7 @@
                 calls,
                 rights,
                 quota,
+                placement,
                 once,
                 incoming,
                 drainingSince,
@@ -105,8 +114,20 @@
         return new SplittableRandom(rules.seed() + steps);
     }
 
+    /** Who lends out shares, as far as this node knows at this moment. */
+    ShareOwners shareOwners() {
+        if (rules.quota() == QuotaMode.LEASED) {
+            return new LeasedShares(rights, fleet);
+        }
+        placement = PlacementLogic.follow(placement, fleet, now);
+        for (Team team : policy.policy().teams().values()) {
+            placement = PlacementLogic.place(placement, team);
+        }
+        return new PlacedShares(placement, rights.self(), fleet, !CallFlow.isolated(this));
+    }
+
     Borrowing.Context borrowing() {
-        return new Borrowing.Context(rights, fleet, now);
+        return new Borrowing.Context(shareOwners(), now);
     }
 
     Rumours rumours() {
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/placement/PlacementLogic.java
@@ -0,0 +1,103 @@
+package org.heatherhaven.core.logic.placement;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.heatherhaven.core.logic.membership.MembershipState;
+import org.heatherhaven.core.logic.membership.Rings;
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.MemberStatus;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Team;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Divides each team's rate among members, without any of them being asked.
+ *
+ * <p>Two nodes that know different members divide differently, so a change must be slow where it would add to what is
+ * lent out: a member that joins lends nothing until all others have surely heard of it, and a member held for dead keeps
+ * its shares until it can't lend any more, should it live and be cut off.
+ */
+public final class PlacementLogic {
+
+    /** All nodes that still admit requests with keys have heard of a new member after this time. */
+    public static final Duration SETTLE = Duration.ofSeconds(5);
+
+    /** A member cut off from all others no longer trusts keys after this time. */
+    private static final Duration DEAD_KEEPS = Duration.ofSeconds(8);
+
+    /** A share below this burst would be empty too often. */
+    private static final double MIN_SHARE_BURST = 4;
+
+    /** So many owners that the end of one leaves a team most of its rate. */
+    private static final int MIN_OWNERS = 3;
+
+    private PlacementLogic() {}
+
+    /**
+     * Follows the members.
+     *
+     * @param state the state
+     * @param fleet the members
+     * @param now the time
+     * @return the new state
+     */
+    public static PlacementState follow(PlacementState state, MembershipState fleet, Instant now) {
+        if (state.seen() == fleet.members() && now.isBefore(state.reviewAt())) {
+            return state;
+        }
+        PMap<NodeId, Instant> deadSince = HashTreePMap.empty();
+        Instant reviewAt = Instant.MAX;
+        List<Member> owners = new ArrayList<>();
+        for (Map.Entry<NodeId, Member> entry : fleet.members().entrySet()) {
+            Member member = entry.getValue();
+            if (member.status() == MemberStatus.DEAD) {
+                Instant since = state.deadSince().getOrDefault(entry.getKey(), now);
+                deadSince = deadSince.plus(entry.getKey(), since);
+                Instant until = since.plus(DEAD_KEEPS);
+                if (!now.isBefore(until)) {
+                    continue;
+                }
+                reviewAt = until.isBefore(reviewAt) ? until : reviewAt;
+            }
+            if (member.status() != MemberStatus.LEFT) {
+                owners.add(member);
+            }
+        }
+        return new PlacementState(
+                fleet.members(), deadSince, reviewAt, List.copyOf(owners), HashTreePMap.empty(), state.lendsFrom());
+    }
+
+    /**
+     * Notes that an earlier process of this node was a member, so that all others count with it already.
+     *
+     * @param state the state
+     * @param now the time
+     * @return the new state
+     */
+    public static PlacementState knownBefore(PlacementState state, Instant now) {
+        return now.isBefore(state.lendsFrom()) ? state.withLendsFrom(now) : state;
+    }
+
+    /**
+     * Works out the owners of a team's shares.
+     *
+     * @param state the state
+     * @param team the team
+     * @return the state that knows them
+     */
+    public static PlacementState place(PlacementState state, Team team) {
+        if (state.byTeam().containsKey(team.name())) {
+            return state;
+        }
+        int wanted = (int) Math.max(MIN_OWNERS, team.burst() / MIN_SHARE_BURST);
+        List<NodeId> nodes = Rings.rendezvous("share|" + team.name(), state.owners(), wanted).stream()
+                .map(Member::id)
+                .toList();
+        return state.withTeam(team.name(), nodes);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherhaven/core/logic/placement/PlacementState.java
@@ -0,0 +1,48 @@
+package org.heatherhaven.core.logic.placement;
+
+import java.time.Instant;
+import java.util.List;
+
+import org.heatherhaven.core.model.Member;
+import org.heatherhaven.core.model.NodeId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.TreePMap;
+
+/**
+ * The members that own shares.
+ *
+ * @param seen the members from which all this was worked out
+ * @param deadSince since when members are held for dead
+ * @param reviewAt when a dead member loses its shares next; far future if there is none
+ * @param owners members that own shares, in order of their addresses
+ * @param byTeam owners of each team's shares, as far as they were asked for
+ * @param lendsFrom when this process may lend out its own shares
+ */
+public record PlacementState(
+        TreePMap<NodeId, Member> seen,
+        PMap<NodeId, Instant> deadSince,
+        Instant reviewAt,
+        List<Member> owners,
+        PMap<String, List<NodeId>> byTeam,
+        Instant lendsFrom) {
+
+    /**
+     * The state of a process that may have no shares yet.
+     *
+     * @param lendsFrom when it may lend out its own shares
+     * @return the state
+     */
+    public static PlacementState start(Instant lendsFrom) {
+        return new PlacementState(
+                TreePMap.empty(), HashTreePMap.empty(), Instant.MIN, List.of(), HashTreePMap.empty(), lendsFrom);
+    }
+
+    PlacementState withTeam(String team, List<NodeId> nodes) {
+        return new PlacementState(seen, deadSince, reviewAt, owners, byTeam.plus(team, nodes), lendsFrom);
+    }
+
+    PlacementState withLendsFrom(Instant at) {
+        return new PlacementState(seen, deadSince, reviewAt, owners, byTeam, at);
+    }
+}
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
@@ -2,16 +2,13 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Outbox;
-import org.heatherhaven.core.logic.Hashes;
-import org.heatherhaven.core.logic.membership.MembershipState;
 import org.heatherhaven.core.logic.quota.QuotaState.DeniedCall;
-import org.heatherhaven.core.logic.rights.RightsLogic;
-import org.heatherhaven.core.logic.rights.RightsState;
 import org.heatherhaven.core.message.LoanAsk;
 import org.heatherhaven.core.message.LoanGrant;
 import org.heatherhaven.core.model.NodeId;
@@ -58,7 +55,7 @@
             boolean low = spent.get().tokens(now) < spent.get().pace();
             return low ? ask(next, team, context, out) : next;
         }
-        boolean hopeless = allDenied(wallet, team, now.plus(TOKEN_WAIT));
+        boolean hopeless = allDenied(wallet, context.owners().shares(team), now.plus(TOKEN_WAIT));
         if (hopeless || wallet.waiters().size() >= MAX_WAITERS) {
             return state.withWallet(team.name(), wallet).withRefused(new DeniedCall(call, true, earliest(wallet, now)));
         }
@@ -67,19 +64,16 @@
     }
 
     /**
-     * What is needed to find the holders of shares.
+     * What is needed to find the owners of shares.
      *
-     * @param rights rights of this process
-     * @param fleet current members
+     * @param owners who lends out which share
      * @param now current time
      */
-    public record Context(RightsState rights, MembershipState fleet, Instant now) {}
+    public record Context(ShareOwners owners, Instant now) {}
 
-    private static boolean allDenied(Wallet wallet, Team team, Instant at) {
-        if (wallet.denied().size() < team.shares()) {
-            return false;
-        }
-        return wallet.denied().values().stream().allMatch(at::isBefore);
+    private static boolean allDenied(Wallet wallet, List<RightId> shares, Instant at) {
+        return !shares.isEmpty()
+                && shares.stream().map(wallet.denied()::get).allMatch(until -> until != null && at.isBefore(until));
     }
 
     private static Instant earliest(Wallet wallet, Instant now) {
@@ -92,7 +86,8 @@
     private static QuotaState ask(QuotaState state, Team team, Context context, Outbox out) {
         Instant now = context.now();
         Wallet wallet = state.wallets().get(team.name());
-        double ahead = Math.min(wallet.pace() * LOOKS_AHEAD, team.shareBurst() / 2);
+        double ahead = Math.min(
+                wallet.pace() * LOOKS_AHEAD, context.owners().divided(team).shareBurst() / 2);
         int want = (int) Math.ceil(wallet.waiters().size() + ahead - wallet.tokens(now));
         if (want <= 0) {
             return state;
@@ -101,30 +96,26 @@
         if (share.isEmpty()) {
             return state;
         }
-        Optional<NodeId> holder = RightsLogic.whereIs(context.rights(), share.get(), context.fleet());
+        Optional<NodeId> holder = context.owners().ownerOf(share.get());
         if (holder.isEmpty()) {
             return state;
         }
         long seq = state.nextSeq();
         long spentBefore = wallet.spentBefore(share.get(), seq);
         out.add(new Effect.Send(
-                holder.get(), new LoanAsk(context.rights().self(), share.get(), seq, want, spentBefore)));
+                holder.get(), new LoanAsk(context.owners().self(), share.get(), seq, want, spentBefore)));
         Wallet asked = wallet.withAsks(wallet.asks().plus(share.get(), new PendingAsk(seq, now)));
         return state.withWallet(team.name(), asked).withNextSeq(seq + 1);
     }
 
-    /** Each node starts at a share of its own, so that the shares of a large team are asked evenly. */
     private static Optional<RightId> nextShare(Wallet wallet, Team team, Context context) {
-        int start = Hashes.bucket(context.rights().self().node() + "|" + team.name(), team.shares());
-        for (int i = 0; i < team.shares(); i++) {
-            RightId share = new RightId(RightId.Kind.SHARE, team.name(), (start + i) % team.shares());
-            Instant deniedUntil = wallet.denied().get(share);
-            boolean free = deniedUntil == null || !context.now().isBefore(deniedUntil);
-            if (free && !wallet.asks().containsKey(share)) {
-                return Optional.of(share);
-            }
-        }
-        return Optional.empty();
+        return context.owners().shares(team).stream()
+                .filter(share -> !wallet.asks().containsKey(share))
+                .filter(share -> {
+                    Instant deniedUntil = wallet.denied().get(share);
+                    return deniedUntil == null || !context.now().isBefore(deniedUntil);
+                })
+                .findFirst();
     }
 
     /**
@@ -207,7 +198,7 @@
             if (look) {
                 wallet = wallet.withPace(wallet.pace() + PACE_SMOOTHING * (wallet.arrivals() - wallet.pace()));
             }
-            next = refuseExpired(next, name, wallet, team, now);
+            next = refuseExpired(next, name, wallet, team, context);
             if (team != null) {
                 next = serve(next, team, context, out);
             }
@@ -225,12 +216,14 @@
         return asks == wallet.asks() ? wallet : wallet.withAsks(asks);
     }
 
-    private static QuotaState refuseExpired(QuotaState state, String name, Wallet wallet, Team team, Instant now) {
+    private static QuotaState refuseExpired(QuotaState state, String name, Wallet wallet, Team team, Context context) {
+        Instant now = context.now();
         QuotaState next = state;
         Wallet left = wallet;
         while (!left.waiters().isEmpty()
                 && (team == null || !now.isBefore(left.waiters().get(0).until()))) {
-            boolean denied = team != null && left.denied().size() >= team.shares();
+            boolean denied = team != null
+                    && left.denied().keySet().containsAll(context.owners().shares(team));
             next = next.withRefused(new DeniedCall(left.waiters().get(0).call(), denied, earliest(left, now)));
             left = left.withWaiters(left.waiters().minus(0));
         }
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Lending.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Lending.java
@@ -6,10 +6,8 @@
 
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Outbox;
-import org.heatherhaven.core.logic.rights.Acquisition;
-import org.heatherhaven.core.logic.rights.RightState;
+import org.heatherhaven.core.logic.quota.ShareOwners.Leave;
 import org.heatherhaven.core.logic.rights.RightsLogic;
-import org.heatherhaven.core.logic.rights.RightsState;
 import org.heatherhaven.core.message.LoanAsk;
 import org.heatherhaven.core.message.LoanGrant;
 import org.heatherhaven.core.model.NodeId;
@@ -41,31 +39,24 @@
      * Answers a question for tokens.
      *
      * @param state the state
-     * @param rights rights of this process
+     * @param owners who lends out which share
      * @param team the team, as in the policy in force
      * @param ask the question
-     * @param elsewhere the node that is believed to hold the share, if it is not this one
      * @param now current time
      * @param out takes the effects
      * @return the new state
      */
     public static QuotaState asked(
-            QuotaState state,
-            RightsState rights,
-            Optional<Team> team,
-            LoanAsk ask,
-            Optional<NodeId> elsewhere,
-            Instant now,
-            Outbox out) {
+            QuotaState state, ShareOwners owners, Optional<Team> team, LoanAsk ask, Instant now, Outbox out) {
         RightId right = ask.right();
-        if (team.isEmpty() || !rights.usable(right, now)) {
-            Optional<NodeId> hint =
-                    elsewhere.filter(node -> !node.equals(rights.self().node()));
+        Optional<Leave> leave = owners.leave(right, now);
+        if (team.isEmpty() || leave.isEmpty()) {
+            Optional<NodeId> hint = owners.ownerOf(right)
+                    .filter(node -> !node.equals(owners.self().node()));
             reply(ask, new LoanGrant(right, ask.seq(), 0, 0, 0, false, hint), out);
             return state;
         }
-        Bucket bucket = bucketOf(state, rights.find(right).orElseThrow(), right, team.get(), now)
-                .refilled(team.get(), now);
+        Bucket bucket = bucketOf(state, leave.get(), right, team.get(), now).refilled(team.get(), now);
         Borrower borrower = bucket.borrowers().get(ask.borrower());
         if (borrower != null && ask.seq() <= borrower.lastSeq()) {
             return state.withBucket(right, bucket);
@@ -84,17 +75,16 @@
         out.add(new Effect.Send(ask.borrower().node(), grant));
     }
 
-    private static Bucket bucketOf(QuotaState state, RightState held, RightId right, Team team, Instant now) {
+    private static Bucket bucketOf(QuotaState state, Leave leave, RightId right, Team team, Instant now) {
         Bucket known = state.buckets().get(right);
-        long term = held.term().orElseThrow();
-        if (known != null && known.term() == term) {
+        if (known != null && known.term() == leave.term()) {
             return known;
         }
-        if (held.takenBy() == Acquisition.CREATED) {
-            return Bucket.full(term, team, now);
+        if (leave.full()) {
+            return Bucket.full(leave.term(), team, now);
         }
         // Whoever takes over starts empty: a full bucket would mint a second burst.
-        return Bucket.empty(term, now);
+        return Bucket.empty(leave.term(), now);
     }
 
     /**
--- a/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
@@ -28,6 +28,14 @@
     /** Load, in thousandths of its limit, beyond which a region's calls spill over to other regions. */
     private static final int SPILL_LOAD = 1_500;
 
+    /** Load, in thousandths of its limit, beyond which a zone's calls spill over to other zones. */
+    private static final int ZONE_SPILL_LOAD = 900;
+
+    /** Without newer word a target is held for no more than half full, so that it is tried again. */
+    private static final Duration LOAD_LIFE = Duration.ofMillis(300);
+
+    private static final int UNKNOWN_LOAD = 500;
+
     /** Cost of leaving the zone, in parts of a full target. */
     private static final double ZONE_COST = 0.1;
 
@@ -70,6 +78,14 @@
         if (region.isEmpty()) {
             return Optional.of(better(state, home, healthy, random, now).id());
         }
+        List<Member> zone =
+                region.stream().filter(member -> member.zone().equals(home)).toList();
+        if (!zone.isEmpty()) {
+            Member local = better(state, home, zone, random, now);
+            if (loadOf(state, local, now) < ZONE_SPILL_LOAD) {
+                return Optional.of(local.id());
+            }
+        }
         Member near = better(state, home, region, random, now);
         boolean full = state.of(near.id(), now).load() > SPILL_LOAD;
         return Optional.of(full ? better(state, home, healthy, random, now).id() : near.id());
@@ -115,7 +131,13 @@
         TargetStats stats = state.of(member.id(), now);
         double own = (stats.inFlight() + 1.0) / Math.max(1, member.slots());
         double away = member.zone().equals(home) ? 0 : ZONE_COST;
-        return own + stats.load() / LOAD_UNIT + away;
+        return own + loadOf(state, member, now) / LOAD_UNIT + away;
+    }
+
+    private static int loadOf(RoutingState state, Member member, Instant now) {
+        TargetStats stats = state.of(member.id(), now);
+        boolean recent = Duration.between(stats.loadAt(), now).compareTo(LOAD_LIFE) <= 0;
+        return recent ? stats.load() : Math.min(stats.load(), UNKNOWN_LOAD);
     }
 
     /**
@@ -143,7 +165,8 @@
     public static RoutingState succeeded(RoutingState state, NodeId target, int load, Instant now) {
         TargetStats stats = state.of(target, now);
         return state.with(
-                target, stats.withInFlight(stats.inFlight() - 1).withLoad(load).withFailures(0, stats.avoidUntil()));
+                target,
+                stats.withInFlight(stats.inFlight() - 1).withLoad(load, now).withFailures(0, stats.avoidUntil()));
     }
 
     /**
@@ -177,7 +200,7 @@
      */
     public static RoutingState returned(RoutingState state, NodeId target, int load, Instant now) {
         TargetStats stats = state.of(target, now);
-        return state.with(target, stats.withInFlight(stats.inFlight() - 1).withLoad(load));
+        return state.with(target, stats.withInFlight(stats.inFlight() - 1).withLoad(load, now));
     }
 
     /**
--- a/core/src/main/java/org/heatherhaven/core/logic/routing/TargetStats.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/routing/TargetStats.java
@@ -9,19 +9,19 @@
  * @param load load that its node reported last, in thousandths of its limit
  * @param failures failures in a row
  * @param avoidUntil when it is considered again after failures
- * @param since when this node first routed to it
+ * @param loadAt when it reported that load
  */
-public record TargetStats(int inFlight, int load, int failures, Instant avoidUntil, Instant since) {
+public record TargetStats(int inFlight, int load, int failures, Instant avoidUntil, Instant loadAt) {
 
     TargetStats withInFlight(int next) {
-        return new TargetStats(Math.max(0, next), load, failures, avoidUntil, since);
+        return new TargetStats(Math.max(0, next), load, failures, avoidUntil, loadAt);
     }
 
-    TargetStats withLoad(int next) {
-        return new TargetStats(inFlight, next, failures, avoidUntil, since);
+    TargetStats withLoad(int next, Instant at) {
+        return new TargetStats(inFlight, next, failures, avoidUntil, at);
     }
 
     TargetStats withFailures(int next, Instant until) {
-        return new TargetStats(inFlight, load, next, until, since);
+        return new TargetStats(inFlight, load, next, until, loadAt);
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/model/Member.java
+++ b/core/src/main/java/org/heatherhaven/core/model/Member.java
@@ -34,6 +34,16 @@
         return new Member(id, epoch, next, current, zone, service, slots);
     }
 
+    /**
+     * Copies this member with another start of its process.
+     *
+     * @param nextEpoch milliseconds since 1970
+     * @return the changed member
+     */
+    public Member startedAt(long nextEpoch) {
+        return new Member(id, nextEpoch, refutation, status, zone, service, slots);
+    }
+
     /**
      * Copies this member with another target.
      *
--- a/node/src/main/java/org/heatherhaven/node/platform/PlatformGateway.java
+++ b/node/src/main/java/org/heatherhaven/node/platform/PlatformGateway.java
@@ -187,13 +187,19 @@
         byte[] value = Stored.write(self);
         return platform.create(key, value).thenCompose(created -> {
             if (created.isPresent()) {
+                events.accept(new PlatformEvent.SelfAnnounced(false));
                 return CompletableFuture.completedFuture(true);
             }
             return platform.get(key)
                     .thenCompose(found -> found.isEmpty()
                             ? platform.create(key, value)
                             : platform.update(key, value, found.get().version()))
-                    .thenApply(written -> written.isPresent());
+                    .thenApply(written -> {
+                        if (written.isPresent()) {
+                            events.accept(new PlatformEvent.SelfAnnounced(true));
+                        }
+                        return written.isPresent();
+                    });
         });
     }
 
