--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
@@ -150,7 +150,10 @@
         Duration smoothed = old.isZero()
                 ? took
                 : old.plusNanos((long) (SMOOTHING * took.minus(old).toNanos()));
-        return next.withServiceTime(smoothed).withLimit(Math.min(state.slots(), state.limit() + LIMIT_STEP));
+        GuardState learnt = next.withServiceTime(smoothed);
+        return state.target().reported()
+                ? learnt
+                : learnt.withLimit(Math.min(state.slots(), state.limit() + LIMIT_STEP));
     }
 
     /**
@@ -221,7 +224,7 @@
         Demand demand = state.demand();
         GuardState next = state;
         int finished = demand.completions() + demand.failures();
-        if (demand.failures() > Math.max(1, finished * FAILURE_PART)) {
+        if (!state.target().reported() && demand.failures() > Math.max(1, finished * FAILURE_PART)) {
             next = next.withLimit(Math.max(LIMIT_MIN, next.limit() * BACK_OFF));
         }
         next = next.withServed(fade(next));
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardState.java
@@ -49,6 +49,9 @@
 
     private static final double SMALLEST_START = 2;
 
+    /** Part of the reported slots that is used. */
+    private static final double FULL_PART = 0.94;
+
     /**
      * The state of a node whose target is idle.
      *
@@ -278,7 +281,7 @@
         return new GuardState(
                 mode,
                 nextSlots,
-                coldLimit(nextSlots),
+                next.instance().isEmpty() ? coldLimit(nextSlots) : reportedLimit(nextSlots),
                 running,
                 contexts,
                 queue,
@@ -292,6 +295,11 @@
                 GuardedTarget.of(next));
     }
 
+    /** A target that reports its slots is believed; it is kept from being quite full, where some slow down. */
+    private static double reportedLimit(int slots) {
+        return Math.max(1, Math.floor(slots * FULL_PART));
+    }
+
     private static double coldLimit(int slots) {
         return Math.min(slots, Math.max(SMALLEST_START, slots * COLD_PART));
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardedTarget.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardedTarget.java
@@ -30,6 +30,11 @@
         return from.isBefore(refuseFrom) ? new GuardedTarget(ref, from) : this;
     }
 
+    /** Tells whether the target itself said how many slots it has. */
+    boolean reported() {
+        return ref.filter(target -> !target.instance().isEmpty()).isPresent();
+    }
+
     boolean takesCalls(Instant now) {
         return ref.isPresent() && now.isBefore(refuseFrom);
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/placement/PlacementLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/placement/PlacementLogic.java
@@ -3,8 +3,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.heatherhaven.core.logic.membership.MembershipState;
 import org.heatherhaven.core.logic.membership.Rings;
@@ -12,6 +16,7 @@
 import org.heatherhaven.core.model.MemberStatus;
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.Team;
+import org.heatherhaven.core.model.Zone;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
@@ -30,8 +35,8 @@
     /** A member cut off from all others no longer trusts keys after this time. */
     private static final Duration DEAD_KEEPS = Duration.ofSeconds(8);
 
-    /** A share below this burst would be empty too often. */
-    private static final double MIN_SHARE_BURST = 4;
+    /** Burst that one owner in each zone can lend out; a larger team has more owners. */
+    private static final double BURST_PER_OWNER = 500;
 
     /** So many owners that the end of one leaves a team most of its rate. */
     private static final int MIN_OWNERS = 3;
@@ -94,10 +99,20 @@
         if (state.byTeam().containsKey(team.name())) {
             return state;
         }
-        int wanted = (int) Math.max(MIN_OWNERS, team.burst() / MIN_SHARE_BURST);
-        List<NodeId> nodes = Rings.rendezvous("share|" + team.name(), state.owners(), wanted).stream()
+        Map<Zone, List<Member>> zones = state.owners().stream()
+                .collect(Collectors.groupingBy(Member::zone, LinkedHashMap::new, Collectors.toList()));
+        int perZone = (int) Math.max(1, Math.ceil(team.burst() / BURST_PER_OWNER / Math.max(1, zones.size())));
+        Set<NodeId> nodes = new LinkedHashSet<>();
+        zones.values().forEach(members -> nodes.addAll(rank(team, members, perZone)));
+        if (nodes.size() < MIN_OWNERS) {
+            nodes.addAll(rank(team, state.owners(), MIN_OWNERS));
+        }
+        return state.withTeam(team.name(), List.copyOf(nodes));
+    }
+
+    private static List<NodeId> rank(Team team, List<Member> members, int count) {
+        return Rings.rendezvous("share|" + team.name(), members, count).stream()
                 .map(Member::id)
                 .toList();
-        return state.withTeam(team.name(), nodes);
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
@@ -88,7 +88,7 @@
         Wallet wallet = state.wallets().get(team.name());
         double ahead = Math.min(
                 wallet.pace() * LOOKS_AHEAD, context.owners().divided(team).shareBurst() / 2);
-        int want = (int) Math.ceil(wallet.waiters().size() + ahead - wallet.tokens(now));
+        int want = wallet.waiters().size() + (int) ahead - wallet.tokens(now);
         if (want <= 0) {
             return state;
         }
--- a/core/src/main/java/org/heatherhaven/core/model/Route.java
+++ b/core/src/main/java/org/heatherhaven/core/model/Route.java
@@ -14,9 +14,7 @@
  * @param importance order of shedding under overload
  * @param unrepeatable true for non-idempotent requests, which run at most once
  * @param open true if no key is needed
- * @param timeout longest and default time that a request may take
- * @param aim time within which an answer is worth the most to its caller
- * @param retries retry budget of one root request with all calls made for it
+ * @param limits bounds of each request
  */
 public record Route(
         String name,
@@ -26,13 +24,31 @@
         Importance importance,
         boolean unrepeatable,
         boolean open,
-        Duration timeout,
-        Duration aim,
-        int retries) {
+        Limits limits) {
 
     /** Host of routes that serve requests for any host. */
     public static final String ANY_HOST = "";
 
+    /**
+     * Bounds of one request.
+     *
+     * @param timeout longest and default time that a request may take
+     * @param aim time within which an answer is worth the most to its caller
+     * @param retries retry budget of one root request with all calls made for it
+     */
+    public record Limits(Duration timeout, Duration aim, int retries) {
+
+        /**
+         * Bounds of a request whose answer is worth as much late as early.
+         *
+         * @param timeout longest and default time that a request may take
+         * @param retries retry budget of one root request
+         */
+        public Limits(Duration timeout, int retries) {
+            this(timeout, timeout, retries);
+        }
+    }
+
     /**
      * A route for any host that leads to one service.
      *
@@ -42,8 +58,7 @@
      * @param importance order of shedding under overload
      * @param unrepeatable true for non-idempotent requests
      * @param open true if no key is needed
-     * @param timeout longest and default time that a request may take
-     * @param retries retry budget of one root request
+     * @param limits bounds of each request
      */
     public Route(
             String name,
@@ -52,19 +67,26 @@
             Importance importance,
             boolean unrepeatable,
             boolean open,
-            Duration timeout,
-            int retries) {
-        this(
-                name,
-                ANY_HOST,
-                path,
-                List.of(new WeightedService(service, 1)),
-                importance,
-                unrepeatable,
-                open,
-                timeout,
-                timeout,
-                retries);
+            Limits limits) {
+        this(name, ANY_HOST, path, List.of(new WeightedService(service, 1)), importance, unrepeatable, open, limits);
+    }
+
+    /**
+     * Longest and default time that a request may take.
+     *
+     * @return the timeout
+     */
+    public Duration timeout() {
+        return limits.timeout();
+    }
+
+    /**
+     * Retry budget of one root request with all calls made for it.
+     *
+     * @return number of retries
+     */
+    public int retries() {
+        return limits.retries();
     }
 
     /**
--- a/core/src/test/java/org/heatherhaven/core/fleet/Policies.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/Policies.java
@@ -38,7 +38,8 @@
 
     public static Route route(
             String name, String path, String service, Importance importance, boolean unrepeatable, boolean open) {
-        return new Route(name, path, service, importance, unrepeatable, open, Duration.ofSeconds(2), 3);
+        return new Route(
+                name, path, service, importance, unrepeatable, open, new Route.Limits(Duration.ofSeconds(2), 3));
     }
 
     public static PolicyPatch withdraw(String id, long base, String key) {
--- a/node/src/main/java/org/heatherhaven/node/settings/PatchReader.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/PatchReader.java
@@ -82,7 +82,9 @@
                 table.constant("importance", Importance.class, Optional.of(Importance.NORMAL)),
                 table.flag("unrepeatable", false),
                 table.flag("open", false),
-                Duration.ofMillis(table.number("timeout_ms", 1, MAX_TIMEOUT_MS, Optional.of(DEFAULT_TIMEOUT_MS))),
-                (int) table.number("retries", 0, MAX_RETRIES, Optional.of(DEFAULT_RETRIES)));
+                new Route.Limits(
+                        Duration.ofMillis(
+                                table.number("timeout_ms", 1, MAX_TIMEOUT_MS, Optional.of(DEFAULT_TIMEOUT_MS))),
+                        (int) table.number("retries", 0, MAX_RETRIES, Optional.of(DEFAULT_RETRIES))));
     }
 }
--- a/node/src/main/java/org/heatherhaven/node/target/GuardedCall.java
+++ b/node/src/main/java/org/heatherhaven/node/target/GuardedCall.java
@@ -109,8 +109,7 @@
                 mailbox.put(new TrafficEvent.TargetEnded(key, TargetResult.NOT_SENT));
                 return;
             }
-            TargetExchange sent =
-                    connections.send(head, hasBody, effect.target(), effect.context(), effect.timeout(), new Answer());
+            TargetExchange sent = connections.send(head, hasBody, effect, new Answer());
             exchange = Optional.of(sent);
             unfed.forEach(sent::feed);
             unfed.clear();
--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
@@ -13,6 +13,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import org.heatherhaven.core.effect.Effect.RunOffer;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.TargetRef;
 import org.heatherhaven.node.http.CallDialect;
@@ -52,23 +53,15 @@
      *
      * @param head the call
      * @param hasBody true if a body will be fed
-     * @param target the process life that shall run it
-     * @param context context id for the target's own calls
-     * @param timeout time left
+     * @param order which process life shall run it, and how long
      * @param listener hears the answer
      * @return the call at the target
      */
-    public TargetExchange send(
-            CallHead head,
-            boolean hasBody,
-            TargetRef target,
-            String context,
-            Duration timeout,
-            AnswerListener listener) {
-        TargetExchange exchange = new TargetExchange(loop, dialect, head, hasBody, target, context, timeout, listener);
+    public TargetExchange send(CallHead head, boolean hasBody, RunOffer order, AnswerListener listener) {
+        TargetExchange exchange = new TargetExchange(loop, dialect, head, hasBody, order, listener);
         loop.execute(() -> {
-            exchange.startTimer(timeout);
-            connect(exchange, target);
+            exchange.startTimer(order.timeout());
+            connect(exchange, order.target());
         });
         return exchange;
     }
--- a/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
@@ -20,10 +20,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.heatherhaven.core.effect.Effect.RunOffer;
 import org.heatherhaven.core.event.TrafficEvent.TargetResult;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
-import org.heatherhaven.core.model.TargetRef;
 import org.heatherhaven.node.http.AnswerVerdict;
 import org.heatherhaven.node.http.CallDialect;
 import org.heatherhaven.node.http.EndToEnd;
@@ -53,9 +53,7 @@
             CallDialect dialect,
             CallHead head,
             boolean hasBody,
-            TargetRef target,
-            String context,
-            Duration timeout,
+            RunOffer order,
             AnswerListener listener) {
         this.loop = loop;
         this.dialect = dialect;
@@ -65,17 +63,17 @@
         this.bodyComplete = !hasBody;
         this.request =
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(head.method()), head.path(), false);
-        fillHeaders(request.headers(), target, context, timeout);
+        fillHeaders(request.headers(), order);
     }
 
-    private void fillHeaders(HttpHeaders headers, TargetRef target, String context, Duration timeout) {
+    private void fillHeaders(HttpHeaders headers, RunOffer order) {
         for (Header header : head.headers()) {
             headers.add(header.name(), header.value());
         }
         if (hasBody && EndToEnd.contentLength(head.headers()) < 0) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
-        dialect.addForTarget(headers, head, target, context, timeout);
+        dialect.addForTarget(headers, head, order.target(), order.context(), order.timeout());
     }
 
     CallHead head() {
--- a/standin/src/main/java/org/heatherhaven/standin/fleet/FleetPolicy.java
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/FleetPolicy.java
@@ -76,8 +76,7 @@
                     flow.importance(),
                     flow.unrepeatable(),
                     false,
-                    TIMEOUT,
-                    RETRIES));
+                    new Route.Limits(TIMEOUT, RETRIES)));
         }
         addNestedRoutes(deployment, routes);
         return new PolicyPatch("first", 0, "measure", "", teams, routes, keys, List.of(), List.of(), List.of());
@@ -93,7 +92,14 @@
                         if (!known) {
                             String name = path.substring(1).replace('/', '-');
                             String owner = path.substring(1, path.indexOf('/', 1));
-                            routes.add(new Route(name, path, owner, Importance.NORMAL, false, false, TIMEOUT, RETRIES));
+                            routes.add(new Route(
+                                    name,
+                                    path,
+                                    owner,
+                                    Importance.NORMAL,
+                                    false,
+                                    false,
+                                    new Route.Limits(TIMEOUT, RETRIES)));
                         }
                     }));
         }
