--- a/core/src/main/java/org/heatherhaven/core/logic/placement/PlacementLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/placement/PlacementLogic.java
@@ -32,6 +32,9 @@
     /** All nodes that still admit requests with keys have heard of a new member after this time. */
     public static final Duration SETTLE = Duration.ofSeconds(5);
 
+    /** In a fleet that starts as a whole nobody lent before; members find each other in less than this time. */
+    private static final Duration SETTLE_TOGETHER = Duration.ofMillis(1_500);
+
     /** A member cut off from all others no longer trusts keys after this time. */
     private static final Duration DEAD_KEEPS = Duration.ofSeconds(8);
 
@@ -73,8 +76,19 @@
                 owners.add(member);
             }
         }
+        Instant lendsFrom = state.lendsFrom();
+        if (startsTogether(fleet)) {
+            Instant together = lendsFrom.minus(SETTLE).plus(SETTLE_TOGETHER);
+            reviewAt = now.isBefore(together) && together.isBefore(reviewAt) ? together : reviewAt;
+            lendsFrom = now.isBefore(together) ? lendsFrom : together;
+        }
         return new PlacementState(
-                fleet.members(), deadSince, reviewAt, List.copyOf(owners), HashTreePMap.empty(), state.lendsFrom());
+                fleet.members(), deadSince, reviewAt, List.copyOf(owners), HashTreePMap.empty(), lendsFrom);
+    }
+
+    private static boolean startsTogether(MembershipState fleet) {
+        long oldest = fleet.self().epoch() - SETTLE.toMillis();
+        return fleet.members().values().stream().allMatch(member -> member.epoch() > oldest);
     }
 
     /**
