Pressure behind a route shuts out the least urgent roots; jumps of the time of day move no deadlines

Cause: under a surge the small deep service is asked for more than it can do, and nested calls of all roots look alike there, so that cohorts can't protect the important roots. Change: each guard turns its offered load into a pressure that travels back with answers; a node passes on the pressure behind the calls that its target makes, whose ratios it learns by least squares; entries shut out levels of urgency from the least urgent on, before any work (admission = ranked). Clocks: deadlines go by the monotonic clock; what a jump of the time of day may hide ages keys, promises and loans. Calls that wait for a leaving target are given back in time. Not measured yet.

--- a/core/src/main/java/org/heatherhaven/core/event/ControlEvent.java
+++ b/core/src/main/java/org/heatherhaven/core/event/ControlEvent.java
@@ -1,5 +1,7 @@
 package org.heatherhaven.core.event;
 
+import java.time.Duration;
+
 import org.heatherhaven.core.message.PeerMessage;
 import org.heatherhaven.core.model.PolicyPatch;
 import org.heatherhaven.core.model.TargetReport;
@@ -10,6 +12,13 @@
     /** Time has passed. */
     record Tick() implements ControlEvent {}
 
+    /**
+     * The time of day went ahead of the monotonic clock: somebody set it, or the machine was suspended.
+     *
+     * @param time how far
+     */
+    record TimeSkipped(Duration time) implements ControlEvent {}
+
     /**
      * A peer sent a control message.
      *
--- a/core/src/main/java/org/heatherhaven/core/logic/Hashes.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/Hashes.java
@@ -7,6 +7,8 @@
 /** Stable hashes, equal on every node. */
 public final class Hashes {
 
+    private static final int DOUBLE_BITS = 53;
+
     private Hashes() {}
 
     /**
@@ -29,4 +31,14 @@
     public static int bucket(String text, int buckets) {
         return (int) Long.remainderUnsigned(of(text), buckets);
     }
+
+    /**
+     * Hashes a text to a point.
+     *
+     * @param text the text
+     * @return a number from 0 to below 1
+     */
+    public static double point(String text) {
+        return (of(text) >>> (Long.SIZE - DOUBLE_BITS)) * 0x1.0p-53;
+    }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/AdmissionMode.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/AdmissionMode.java
@@ -2,6 +2,8 @@
 
 /** Ways of guarding a target that can be compared with each other. */
 public enum AdmissionMode {
+    /** Limit of concurrency, ordered queue, the least urgent root requests shut out at the door by pressure. */
+    RANKED(true, true, false),
     /** Limit of concurrency that backs off on failures, ordered queue, cohorts shed fairly. */
     FAIR_SHED(true, true, true),
     /** As above, but calls queue in order of arrival and nothing is shed early. */
@@ -45,4 +47,13 @@
     public boolean sheds() {
         return sheds;
     }
+
+    /**
+     * Tells whether root requests are shut out by the pressure behind their route.
+     *
+     * @return true if pressure is heeded
+     */
+    public boolean ranked() {
+        return this == RANKED;
+    }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
@@ -12,6 +12,7 @@
 import org.heatherhaven.core.event.TrafficEvent.TargetResult;
 import org.heatherhaven.core.logic.Hashes;
 import org.heatherhaven.core.logic.admission.Demand.ClassKey;
+import org.heatherhaven.core.logic.pressure.ShedRule;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Reason;
 import org.heatherhaven.core.model.Refusal;
@@ -28,6 +29,9 @@
     /** Time that calls in the queue should wait at most. */
     static final Duration QUEUE_TARGET = Duration.ofMillis(100);
 
+    /** How long calls that wait for a target that leaves may still be handed to it. */
+    private static final Duration QUEUE_GRACE = Duration.ofMillis(700);
+
     private static final int QUEUE_MIN = 8;
     private static final int QUEUE_MAX = 512;
     private static final double SMOOTHING = 0.1;
@@ -39,6 +43,12 @@
     private static final double LIMIT_MIN = 1;
     private static final double FAILURE_PART = 0.1;
 
+    /** Work already begun first, then the more urgent, then those that came first. */
+    private static final Comparator<Waiting> RANKED = Comparator.comparing((Waiting call) -> !call.nested())
+            .thenComparingInt(call ->
+                    ShedRule.urgency(call.head().teamImportance(), call.head().importance()))
+            .thenComparing(Waiting::arrivedAt);
+
     private GuardLogic() {}
 
     /**
@@ -55,7 +65,8 @@
         Waiting call = new Waiting(
                 key, head, Waiting.cohortOf(head.rootId()), now, now.plusMillis(Math.max(0, head.remainingMillis())));
         ClassKey classKey = classOf(head);
-        GuardState next = state.withDemand(state.demand().arrived(classKey));
+        GuardState next = state.withDemand(state.demand().arrived(classKey))
+                .withGauge(state.gauge().arrived());
         if (!now.isBefore(state.refuseFrom())) {
             return refuse(next, call, Reason.DRAINING, "the node of the target is leaving", out);
         }
@@ -214,6 +225,12 @@
                         next.withQueue(next.queue().minus(call)), call, Reason.TOO_LATE, "its deadline passed", out);
             }
         }
+        if (next.target().gone(now.minus(QUEUE_GRACE))) {
+            for (Waiting call : next.queue()) {
+                next = refuse(
+                        next.withQueue(next.queue().minus(call)), call, Reason.NO_TARGET, "the target has left", out);
+            }
+        }
         if (!now.isBefore(next.windowEndsAt())) {
             next = closeWindow(next, now);
         }
@@ -227,7 +244,13 @@
         if (!state.target().reported() && demand.failures() > Math.max(1, finished * FAILURE_PART)) {
             next = next.withLimit(Math.max(LIMIT_MIN, next.limit() * BACK_OFF));
         }
-        next = next.withServed(fade(next));
+        next = next.withServed(fade(next))
+                .withGauge(next.gauge()
+                        .closed(
+                                WINDOW,
+                                next.limit(),
+                                next.serviceTime(),
+                                next.queue().size()));
         if (!demand.saturated() || !next.mode().sheds()) {
             return next.withWindow(next.capacity(), next.keeps().relaxed(), now.plus(WINDOW));
         }
@@ -267,7 +290,7 @@
 
     /** An idle target always gets a call, or a service time that was long once would never be measured again. */
     private static boolean hopeless(GuardState state, Waiting call, Instant now) {
-        return state.mode().sheds()
+        return (state.mode().sheds() || state.mode().ranked())
                 && !state.running().isEmpty()
                 && state.serviceTime().compareTo(Duration.between(now, call.deadline())) > 0;
     }
@@ -292,15 +315,41 @@
     }
 
     private static GuardState refuse(GuardState state, Waiting call, Reason reason, String detail, Outbox out) {
-        Signal signal =
-                new Signal(keepOf(state, call.head()), state.load(), call.head().retries());
+        Signal signal = new Signal(
+                keepOf(state, call.head()),
+                state.load(),
+                pressureOf(state, call.head()),
+                call.head().retries());
         out.add(new Effect.RefuseOffer(call.key(), Refusal.notRun(reason, detail), signal));
         return state;
     }
 
     private static Signal signalFor(GuardState state, Running done) {
         int own = keepOf(state, done.call().head());
-        return new Signal(Math.min(own, done.keep()), state.load(), done.retries());
+        return new Signal(
+                Math.min(own, done.keep()),
+                state.load(),
+                pressureOf(state, done.call().head()),
+                done.retries());
+    }
+
+    /** Pressure of the target itself, or of those that it calls for runs of this route, whichever is higher. */
+    private static int pressureOf(GuardState state, CallHead head) {
+        if (!state.mode().ranked()) {
+            return 0;
+        }
+        return Math.max(state.gauge().pressure(), state.below().getOrDefault(head.route(), 0));
+    }
+
+    /**
+     * Takes the pressure behind the calls that the target makes.
+     *
+     * @param state the state
+     * @param below pressure by route of the runs that make the calls
+     * @return the new state
+     */
+    public static GuardState pressedBelow(GuardState state, PMap<String, Integer> below) {
+        return state.withBelow(below);
     }
 
     private static int keepOf(GuardState state, CallHead head) {
@@ -313,6 +362,9 @@
 
     /** Importance first, then work already begun, then the team served least, then the same cohorts everywhere. */
     private static Comparator<Waiting> order(GuardState state) {
+        if (state.mode().ranked()) {
+            return RANKED;
+        }
         return Comparator.comparingInt(
                         (Waiting call) -> call.head().importance().rank())
                 .thenComparing(call -> !call.nested())
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardState.java
@@ -27,6 +27,8 @@
  * @param windowEndsAt when the current window ends
  * @param refuseFrom when new calls are refused because the node is leaving; far future if it is not
  * @param target the process life that runs the calls
+ * @param gauge how far what comes exceeds what the target can do
+ * @param below pressure behind the calls that the target makes for runs of each route
  */
 public record GuardState(
         AdmissionMode mode,
@@ -42,7 +44,9 @@
         KeepTable keeps,
         Instant windowEndsAt,
         Instant refuseFrom,
-        GuardedTarget target) {
+        GuardedTarget target,
+        Gauge gauge,
+        PMap<String, Integer> below) {
 
     /** Part of the slots that a cold target starts with. */
     private static final double COLD_PART = 0.25;
@@ -75,7 +79,9 @@
                 KeepTable.ALL,
                 now,
                 Instant.MAX,
-                GuardedTarget.NONE);
+                GuardedTarget.NONE,
+                Gauge.CALM,
+                HashTreePMap.empty());
     }
 
     /**
@@ -111,7 +117,9 @@
                 keeps,
                 windowEndsAt,
                 refuseFrom,
-                target);
+                target,
+                gauge,
+                below);
     }
 
     GuardState withRunning(PMap<OfferKey, Running> next) {
@@ -129,7 +137,9 @@
                 keeps,
                 windowEndsAt,
                 refuseFrom,
-                target);
+                target,
+                gauge,
+                below);
     }
 
     GuardState withContexts(PMap<String, OfferKey> next) {
@@ -147,7 +157,9 @@
                 keeps,
                 windowEndsAt,
                 refuseFrom,
-                target);
+                target,
+                gauge,
+                below);
     }
 
     GuardState withQueue(PVector<Waiting> next) {
@@ -165,7 +177,9 @@
                 keeps,
                 windowEndsAt,
                 refuseFrom,
-                target);
+                target,
+                gauge,
+                below);
     }
 
     GuardState withServed(PMap<String, Double> next) {
@@ -183,7 +197,9 @@
                 keeps,
                 windowEndsAt,
                 refuseFrom,
-                target);
+                target,
+                gauge,
+                below);
     }
 
     GuardState withServiceTime(Duration next) {
@@ -201,7 +217,9 @@
                 keeps,
                 windowEndsAt,
                 refuseFrom,
-                target);
+                target,
+                gauge,
+                below);
     }
 
     GuardState withDemand(Demand next) {
@@ -219,7 +237,9 @@
                 keeps,
                 windowEndsAt,
                 refuseFrom,
-                target);
+                target,
+                gauge,
+                below);
     }
 
     GuardState withWindow(double nextCapacity, KeepTable nextKeeps, Instant endsAt) {
@@ -237,7 +257,9 @@
                 nextKeeps,
                 endsAt,
                 refuseFrom,
-                target);
+                target,
+                gauge,
+                below);
     }
 
     GuardState withRefuseFrom(Instant at) {
@@ -255,7 +277,9 @@
                 keeps,
                 windowEndsAt,
                 at,
-                target);
+                target,
+                gauge,
+                below);
     }
 
     GuardState withTarget(GuardedTarget next) {
@@ -273,7 +297,9 @@
                 keeps,
                 windowEndsAt,
                 refuseFrom,
-                next);
+                next,
+                gauge,
+                below);
     }
 
     /** Starts afresh with another process life of the target; what the one before works on goes on. */
@@ -292,7 +318,9 @@
                 keeps,
                 windowEndsAt,
                 refuseFrom,
-                GuardedTarget.of(next));
+                GuardedTarget.of(next),
+                Gauge.CALM,
+                below);
     }
 
     /** A target that reports its slots is believed; it is kept from being quite full, where some slow down. */
@@ -303,4 +331,44 @@
     private static double coldLimit(int slots) {
         return Math.min(slots, Math.max(SMALLEST_START, slots * COLD_PART));
     }
+
+    GuardState withGauge(Gauge next) {
+        return new GuardState(
+                mode,
+                slots,
+                limit,
+                running,
+                contexts,
+                queue,
+                served,
+                serviceTime,
+                capacity,
+                demand,
+                keeps,
+                windowEndsAt,
+                refuseFrom,
+                target,
+                next,
+                below);
+    }
+
+    GuardState withBelow(PMap<String, Integer> next) {
+        return new GuardState(
+                mode,
+                slots,
+                limit,
+                running,
+                contexts,
+                queue,
+                served,
+                serviceTime,
+                capacity,
+                demand,
+                keeps,
+                windowEndsAt,
+                refuseFrom,
+                target,
+                gauge,
+                next);
+    }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardedTarget.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardedTarget.java
@@ -35,6 +35,11 @@
         return ref.filter(target -> !target.instance().isEmpty()).isPresent();
     }
 
+    /** Tells whether the target has refused new calls since before a moment. */
+    boolean gone(Instant before) {
+        return refuseFrom.isBefore(before);
+    }
+
     boolean takesCalls(Instant now) {
         return ref.isPresent() && now.isBefore(refuseFrom);
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/Waiting.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/Waiting.java
@@ -29,6 +29,6 @@
     }
 
     boolean nested() {
-        return head.depth() > 0;
+        return head.depth() > 0 || head.team().isEmpty();
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/call/CallInfo.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/call/CallInfo.java
@@ -20,6 +20,7 @@
  * @param service service that shall run it
  * @param team team that it runs for, empty on open routes
  * @param importance order of shedding, inherited from the root request
+ * @param teamImportance order of shedding that goes before it, from the team
  * @param depth 0 for a root request
  * @param arrivedAt when it arrived
  * @param deadline when its caller gives up
@@ -37,6 +38,7 @@
         String service,
         String team,
         Importance importance,
+        Importance teamImportance,
         int depth,
         Instant arrivedAt,
         Instant deadline,
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -60,6 +60,7 @@
                 info.route().name(),
                 info.team(),
                 info.importance(),
+                info.teamImportance(),
                 info.depth(),
                 Duration.between(step.now, info.deadline()).toMillis(),
                 call.lent(),
@@ -95,6 +96,7 @@
         CallInfo info = call.info();
         Source source = new Source(info.route().name(), info.team(), info.importance());
         step.pressure = step.pressure.heard(source, signal.keep(), step.now);
+        step.routePressure = step.routePressure.heard(info.route().name(), signal.pressure(), step.now);
         EntryCall back = call.cameBack(signal.retriesLeft(), signal.keep());
         step.calls = step.calls.with(back);
         return back;
--- a/core/src/main/java/org/heatherhaven/core/logic/node/CallFlow.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/CallFlow.java
@@ -19,7 +19,9 @@
 import org.heatherhaven.core.logic.call.CallInfo;
 import org.heatherhaven.core.logic.call.EntryCall;
 import org.heatherhaven.core.logic.call.EntryCall.Stage;
+import org.heatherhaven.core.logic.callgraph.CallGraphLogic;
 import org.heatherhaven.core.logic.pressure.PressureState.Source;
+import org.heatherhaven.core.logic.pressure.ShedRule;
 import org.heatherhaven.core.logic.quota.Borrowing;
 import org.heatherhaven.core.logic.quota.QuotaState.DeniedCall;
 import org.heatherhaven.core.logic.routing.RoutingLogic;
@@ -90,7 +92,10 @@
                 .filter(key -> !route.open())
                 .flatMap(key -> step.policy.policy().teamOf(key));
         String name = team.map(Team::name).orElse(NO_TEAM);
-        Importance importance = team.flatMap(Team::importance).orElse(route.importance());
+        Importance teamImportance = team.flatMap(Team::importance).orElse(route.importance());
+        if (route.open() && event.request().keyHash().isEmpty()) {
+            step.callGraph = CallGraphLogic.called(step.callGraph, route.name());
+        }
         CallInfo info = new CallInfo(
                 event.call(),
                 event.door(),
@@ -100,7 +105,8 @@
                 route,
                 route.serviceAt(step.random().nextDouble()),
                 name,
-                importance,
+                route.importance(),
+                teamImportance,
                 0,
                 step.now,
                 step.now.plus(shorter(event.request().timeout().orElse(route.timeout()), route.timeout())),
@@ -122,6 +128,9 @@
                                     + " requests, and this is number " + cohort));
             return;
         }
+        if (shutOut(step, call)) {
+            return;
+        }
         if (team.filter(Team::limited).isEmpty()) {
             proceed(step, call);
             return;
@@ -129,6 +138,33 @@
         step.quota = Borrowing.arrived(step.quota, event.call(), team.get(), step.borrowing(), step.out);
     }
 
+    /** Refuses a root request for which there is no room behind its route; calls of running work are not held up. */
+    private static boolean shutOut(Step step, EntryCall call) {
+        CallInfo info = call.info();
+        if (!step.rules.admission().ranked() || info.route().open()) {
+            return false;
+        }
+        int pressure = step.routePressure.of(info.route().name(), step.now);
+        if (pressure == 0) {
+            return false;
+        }
+        int urgency = ShedRule.urgency(info.teamImportance(), info.importance());
+        double part = ShedRule.shutOut(pressure, urgency, step.policy.policy().levels());
+        double point = Hashes.point(info.rootId());
+        if (point >= part) {
+            return false;
+        }
+        Attempts.refuse(
+                step,
+                call,
+                Refusal.notRun(
+                                Reason.SHED_AT_ENTRY,
+                                "pressure " + pressure + " shuts out " + Math.round(part * 100) + "% of urgency "
+                                        + urgency)
+                        .retryAfter(ShedRule.returnAfter(part, step.random().nextDouble())));
+        return true;
+    }
+
     private static boolean leaving(Step step) {
         return step.drainingSince
                 .filter(since ->
@@ -182,6 +218,7 @@
                     Refusal.notRun(Reason.TOO_MANY_CALLS, "too many calls for one request"));
             return;
         }
+        step.callGraph = CallGraphLogic.called(step.callGraph, route.name());
         Waiting above = parent.get().call();
         int retries = step.rules.retry().handDown(parent.get().retries());
         step.guard = GuardLogic.lendRetries(step.guard, parent.get(), retries);
@@ -196,6 +233,7 @@
                 route.serviceAt(step.random().nextDouble()),
                 above.head().team(),
                 above.head().importance(),
+                above.head().teamImportance(),
                 above.head().depth() + 1,
                 step.now,
                 own.isBefore(above.deadline()) ? own : above.deadline(),
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
@@ -12,6 +12,7 @@
 import org.heatherhaven.core.event.ControlEvent.PeerSaid;
 import org.heatherhaven.core.event.ControlEvent.TargetLeft;
 import org.heatherhaven.core.event.ControlEvent.TargetReported;
+import org.heatherhaven.core.event.ControlEvent.TimeSkipped;
 import org.heatherhaven.core.event.Event;
 import org.heatherhaven.core.event.PlatformEvent;
 import org.heatherhaven.core.event.PlatformEvent.GrantAbsent;
@@ -32,10 +33,12 @@
 import org.heatherhaven.core.event.TrafficEvent.TargetEnded;
 import org.heatherhaven.core.logic.admission.GuardLogic;
 import org.heatherhaven.core.logic.admission.Running;
+import org.heatherhaven.core.logic.callgraph.CallGraphLogic;
 import org.heatherhaven.core.logic.membership.MembershipLogic;
 import org.heatherhaven.core.logic.placement.PlacementLogic;
 import org.heatherhaven.core.logic.policy.PolicyLogic;
 import org.heatherhaven.core.logic.policy.PolicyState;
+import org.heatherhaven.core.logic.quota.Borrowing;
 import org.heatherhaven.core.logic.rights.RightsLogic;
 import org.heatherhaven.core.model.MemberStatus;
 
@@ -85,10 +88,15 @@
         return new Result(step.finish(), step.out.effects());
     }
 
-    /** What lies in connections opened before a pause may be too old to act on, so all of them are closed. */
+    /**
+     * Where callers send unrepeatable requests again under the same key, what lies in connections opened before a pause
+     * may be older than the ledgers' memory, so all of them are closed.
+     */
     private static void noticePause(Step step, NodeState state) {
         Duration silence = Duration.between(state.steppedAt(), step.now);
-        if (state.steps() > 0 && silence.compareTo(PAUSE_LIMIT) > 0 && !step.thawing) {
+        boolean ledgers =
+                step.rules.ledger().prepared() || !step.rights.rights().isEmpty();
+        if (ledgers && state.steps() > 0 && silence.compareTo(PAUSE_LIMIT) > 0 && !step.thawing) {
             step.thawing = true;
             step.note("node", "pause", "no step for " + silence.toMillis() + " ms", "close connections");
             step.out.add(new Effect.CloseLinks());
@@ -127,6 +135,10 @@
     private static void onTargetEnded(Step step, TargetEnded ended) {
         Running done = step.guard.running().get(ended.key());
         step.guard = GuardLogic.ended(step.guard, ended.key(), ended.result(), step.now, step.out);
+        if (done != null && ended.result() == TrafficEvent.TargetResult.ANSWERED) {
+            step.callGraph =
+                    CallGraphLogic.ran(step.callGraph, done.call().head().route());
+        }
         if (done != null && done.children() > 0) {
             CallFlow.contextEnded(step, done.context());
         }
@@ -158,6 +170,8 @@
     private static void onControl(Step step, ControlEvent event) {
         if (event instanceof ControlEvent.Tick) {
             onTick(step);
+        } else if (event instanceof TimeSkipped skip) {
+            onTimeSkipped(step, skip.time());
         } else if (event instanceof PeerSaid said) {
             PeerTalk.heard(step, said.message());
         } else if (event instanceof PatchSubmitted submitted) {
@@ -174,6 +188,13 @@
         }
     }
 
+    /** If the machine was suspended, what others promised or said has aged without this process noticing. */
+    private static void onTimeSkipped(Step step, Duration time) {
+        step.policy = step.policy.aged(time);
+        step.rights = RightsLogic.aged(step.rights, time);
+        step.quota = Borrowing.loansEnded(step.quota);
+    }
+
     private static void onTick(Step step) {
         step.fleet = MembershipLogic.tick(step.fleet, step.rumours(), step.now, step.out);
         Spreading.review(step);
@@ -182,6 +203,10 @@
         step.rights = RightsLogic.tick(step.rights, step.fleet, step.now, step.out);
         Spreading.tickHoldings(step);
         step.pressure = step.pressure.prune(step.now);
+        step.routePressure = step.routePressure.prune(step.now);
+        step.callGraph = CallGraphLogic.tick(step.callGraph, step.now);
+        step.guard =
+                GuardLogic.pressedBelow(step.guard, Downstream.pressures(step.callGraph, step.routePressure, step.now));
         TargetTalk.tick(step);
         step.guard = GuardLogic.tick(step.guard, step.now, step.out);
         CallFlow.tick(step);
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
@@ -6,12 +6,14 @@
 import org.heatherhaven.core.logic.admission.GuardLogic;
 import org.heatherhaven.core.logic.admission.GuardState;
 import org.heatherhaven.core.logic.call.CallsState;
+import org.heatherhaven.core.logic.callgraph.CallGraphState;
 import org.heatherhaven.core.logic.membership.MembershipState;
 import org.heatherhaven.core.logic.once.OnceState;
 import org.heatherhaven.core.logic.placement.PlacementLogic;
 import org.heatherhaven.core.logic.placement.PlacementState;
 import org.heatherhaven.core.logic.policy.PolicyState;
 import org.heatherhaven.core.logic.pressure.PressureState;
+import org.heatherhaven.core.logic.pressure.RoutePressure;
 import org.heatherhaven.core.logic.quota.QuotaState;
 import org.heatherhaven.core.logic.registration.RegistrationState;
 import org.heatherhaven.core.logic.rights.RightsState;
@@ -30,6 +32,8 @@
  * @param fleet the members
  * @param routing figures of targets
  * @param pressure overload behind routes
+ * @param routePressure pressure behind routes
+ * @param callGraph calls that the target makes
  * @param guard calls at the node's own target
  * @param registration what the target said of itself
  * @param calls calls that entered here
@@ -51,6 +55,8 @@
         MembershipState fleet,
         RoutingState routing,
         PressureState pressure,
+        RoutePressure routePressure,
+        CallGraphState callGraph,
         GuardState guard,
         RegistrationState registration,
         CallsState calls,
@@ -95,6 +101,8 @@
                 MembershipState.start(self, now),
                 RoutingState.EMPTY,
                 PressureState.EMPTY,
+                RoutePressure.EMPTY,
+                CallGraphState.EMPTY,
                 target.map(ref -> GuardLogic.targetIs(guard, ref, self.slots())).orElse(guard),
                 RegistrationState.NONE,
                 CallsState.EMPTY,
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
@@ -11,6 +11,7 @@
 import org.heatherhaven.core.effect.Outbox;
 import org.heatherhaven.core.logic.admission.GuardState;
 import org.heatherhaven.core.logic.call.CallsState;
+import org.heatherhaven.core.logic.callgraph.CallGraphState;
 import org.heatherhaven.core.logic.membership.MembershipState;
 import org.heatherhaven.core.logic.once.OnceState;
 import org.heatherhaven.core.logic.placement.PlacedShares;
@@ -18,6 +19,7 @@
 import org.heatherhaven.core.logic.placement.PlacementState;
 import org.heatherhaven.core.logic.policy.PolicyState;
 import org.heatherhaven.core.logic.pressure.PressureState;
+import org.heatherhaven.core.logic.pressure.RoutePressure;
 import org.heatherhaven.core.logic.quota.Borrowing;
 import org.heatherhaven.core.logic.quota.LeasedShares;
 import org.heatherhaven.core.logic.quota.QuotaState;
@@ -42,6 +44,8 @@
     MembershipState fleet;
     RoutingState routing;
     PressureState pressure;
+    RoutePressure routePressure;
+    CallGraphState callGraph;
     GuardState guard;
     RegistrationState registration;
     CallsState calls;
@@ -63,6 +67,8 @@
         this.fleet = state.fleet();
         this.routing = state.routing();
         this.pressure = state.pressure();
+        this.routePressure = state.routePressure();
+        this.callGraph = state.callGraph();
         this.guard = state.guard();
         this.registration = state.registration();
         this.calls = state.calls();
@@ -85,6 +91,8 @@
                 fleet,
                 routing,
                 pressure,
+                routePressure,
+                callGraph,
                 guard,
                 registration,
                 calls,
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/Policy.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/Policy.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.heatherhaven.core.logic.pressure.ShedRule;
 import org.heatherhaven.core.model.KeyGrant;
 import org.heatherhaven.core.model.PolicySnapshot;
 import org.heatherhaven.core.model.PolicyVersion;
@@ -19,17 +20,19 @@
  * @param routes routes by name
  * @param paths names of routes by path prefix
  * @param keys teams by key hash
+ * @param levels urgencies of root requests, ascending; the last is shed first
  */
 public record Policy(
         long version,
         PMap<String, Team> teams,
         PMap<String, Route> routes,
         PMap<Place, String> paths,
-        PMap<String, String> keys) {
+        PMap<String, String> keys,
+        List<Integer> levels) {
 
     /** The policy before the first version: it refuses everything. */
-    public static final Policy EMPTY =
-            new Policy(0, HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty());
+    public static final Policy EMPTY = new Policy(
+            0, HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), List.of());
 
     /**
      * Finds the route of a request: the longest prefix among the routes of its host, then among those for any host.
@@ -89,7 +92,13 @@
         for (KeyGrant key : next.patch().keys()) {
             newKeys = newKeys.plus(key.hash(), key.team());
         }
-        return new Policy(next.version(), newTeams, newRoutes, pathsOf(newRoutes), newKeys);
+        return new Policy(
+                next.version(),
+                newTeams,
+                newRoutes,
+                pathsOf(newRoutes),
+                newKeys,
+                ShedRule.levels(newRoutes.values(), newTeams.values()));
     }
 
     /**
@@ -123,7 +132,13 @@
         for (KeyGrant key : snapshot.keys()) {
             keys = keys.plus(key.hash(), key.team());
         }
-        return new Policy(snapshot.version(), teams, routes, pathsOf(routes), keys);
+        return new Policy(
+                snapshot.version(),
+                teams,
+                routes,
+                pathsOf(routes),
+                keys,
+                ShedRule.levels(routes.values(), teams.values()));
     }
 
     private static PMap<Place, String> pathsOf(PMap<String, Route> routes) {
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyState.java
@@ -1,5 +1,6 @@
 package org.heatherhaven.core.logic.policy;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 
@@ -46,6 +47,16 @@
         return new PolicyState(policy, recent, latest, submission, pullAt, readAt, reading);
     }
 
+    /**
+     * Takes the confirmation for older than it seemed.
+     *
+     * @param time how much older
+     * @return the changed state
+     */
+    public PolicyState aged(Duration time) {
+        return new PolicyState(policy, recent, confirmedAt.minus(time), submission, pullAt, readAt, reading);
+    }
+
     PolicyState withSubmission(Optional<Submission> next) {
         return new PolicyState(policy, recent, confirmedAt, next, pullAt, readAt, reading);
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
@@ -15,6 +15,7 @@
 import org.heatherhaven.core.model.RightId;
 import org.heatherhaven.core.model.Team;
 import org.pcollections.PMap;
+import org.pcollections.TreePVector;
 
 /** The side of a node where a team's calls enter. */
 public final class Borrowing {
@@ -230,6 +231,20 @@
         return next.withWallet(name, left);
     }
 
+    /**
+     * Gives up all borrowed tokens, because it is not known how old they are.
+     *
+     * @param state the state
+     * @return the new state
+     */
+    public static QuotaState loansEnded(QuotaState state) {
+        QuotaState next = state;
+        for (Map.Entry<String, Wallet> entry : state.wallets().entrySet()) {
+            next = next.withWallet(entry.getKey(), entry.getValue().withLoans(TreePVector.empty()));
+        }
+        return next;
+    }
+
     /**
      * Forgets a call that no longer wants its token.
      *
--- a/core/src/main/java/org/heatherhaven/core/logic/rights/RightsLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/rights/RightsLogic.java
@@ -67,6 +67,25 @@
         return duration.plus(duration.dividedBy(DRIFT_PARTS));
     }
 
+    /**
+     * Takes the promises of standbys for nearer their end than they seemed.
+     *
+     * @param state the state
+     * @param time how much nearer
+     * @return the new state
+     */
+    public static RightsState aged(RightsState state, Duration time) {
+        RightsState next = state;
+        for (Map.Entry<RightId, RightState> entry : state.rights().entrySet()) {
+            Instant until = entry.getValue().usableUntil();
+            boolean bounded = until.isAfter(Instant.MIN) && until.isBefore(Instant.MAX);
+            if (bounded) {
+                next = next.with(entry.getKey(), entry.getValue().withUsableUntil(until.minus(time)));
+            }
+        }
+        return next;
+    }
+
     /**
      * Where a right is, or may be found.
      *
--- a/core/src/main/java/org/heatherhaven/core/model/CallHead.java
+++ b/core/src/main/java/org/heatherhaven/core/model/CallHead.java
@@ -16,6 +16,7 @@
  * @param route name of the policy route
  * @param team team that the call runs for, empty on open routes
  * @param importance order of shedding
+ * @param teamImportance order of shedding that goes before it, from the team
  * @param depth 0 for a root request, one more for each call below
  * @param remainingMillis time left until the deadline, milliseconds
  * @param retries part of the retry budget handed down with the call
@@ -34,6 +35,7 @@
         String route,
         String team,
         Importance importance,
+        Importance teamImportance,
         int depth,
         long remainingMillis,
         int retries,
--- a/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
+++ b/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
@@ -41,6 +41,7 @@
                 "route",
                 team,
                 importance,
+                importance,
                 depth,
                 remainingMillis,
                 0,
--- a/node/src/main/java/org/heatherhaven/node/control/ControlLoop.java
+++ b/node/src/main/java/org/heatherhaven/node/control/ControlLoop.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.time.InstantSource;
 import java.util.Optional;
 
 import org.heatherhaven.core.effect.Effect;
@@ -20,7 +19,7 @@
     private static final Duration TICK = Duration.ofMillis(25);
 
     private final Mailbox<Event> mailbox;
-    private final InstantSource clock;
+    private final SteadyClock clock;
     private final EffectRunner runner;
     private volatile NodeState state;
     private volatile boolean stopped;
@@ -34,7 +33,7 @@
      * @param clock source of the time of each step
      * @param runner carries out the effects
      */
-    public ControlLoop(NodeState start, Mailbox<Event> mailbox, InstantSource clock, EffectRunner runner) {
+    public ControlLoop(NodeState start, Mailbox<Event> mailbox, SteadyClock clock, EffectRunner runner) {
         this.state = start;
         this.mailbox = mailbox;
         this.clock = clock;
@@ -57,6 +56,15 @@
     }
 
     private void step(Event event) {
+        Duration skipped = clock.skipped();
+        if (!skipped.isZero()) {
+            LOGGER.warn("The time of day went ahead by {} ms", skipped.toMillis());
+            reduce(new ControlEvent.TimeSkipped(skipped));
+        }
+        reduce(event);
+    }
+
+    private void reduce(Event event) {
         try {
             NodeReducer.Result result = NodeReducer.reduce(state, event, clock.instant());
             state = result.state();
--- a/node/src/main/java/org/heatherhaven/node/control/SteadyClock.java
+++ b/node/src/main/java/org/heatherhaven/node/control/SteadyClock.java
@@ -3,22 +3,26 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 
 /**
- * A clock that never goes back, and that sees the time a machine was suspended.
+ * A clock that never goes back and takes no part in jumps of the time of day.
  *
- * <p>Elapsed time is the larger of what the monotonic and the wall clock say: a suspended machine may stop the first,
- * and an operator may set back the second.
+ * <p>A suspended machine may stop the monotonic clock, and then only the time of day has gone on. Whether it did, or was
+ * set by somebody, can't be told apart; {@link #skipped} reports it, so that whatever must not be trusted for too long
+ * can be doubted, while deadlines go by the time in which this process could work.
  */
 public final class SteadyClock implements InstantSource {
 
+    /** Smaller differences come from slewing and from reading the two clocks one after the other. */
+    private static final Duration SMALLEST_SKIP = Duration.ofMillis(300);
+
     private final InstantSource wall;
     private final LongSupplier nanos;
-    private final AtomicReference<Reading> last;
-
-    private record Reading(Instant steady, Instant wall, long nanos) {}
+    private final Instant start;
+    private final long startNanos;
+    private Instant comparedWall;
+    private long comparedNanos;
 
     /** A clock on the machine's own clocks. */
     public SteadyClock() {
@@ -28,27 +32,28 @@
     SteadyClock(InstantSource wall, LongSupplier nanos) {
         this.wall = wall;
         this.nanos = nanos;
-        Instant start = wall.instant();
-        this.last = new AtomicReference<>(new Reading(start, start, nanos.getAsLong()));
+        this.start = wall.instant();
+        this.startNanos = nanos.getAsLong();
+        this.comparedWall = start;
+        this.comparedNanos = startNanos;
     }
 
     @Override
     public Instant instant() {
-        while (true) {
-            Reading before = last.get();
-            Reading next = after(before);
-            if (last.compareAndSet(before, next)) {
-                return next.steady();
-            }
-        }
+        return start.plusNanos(nanos.getAsLong() - startNanos);
     }
 
-    private Reading after(Reading before) {
+    /**
+     * Time that only the time of day has seen since the last call; for one thread.
+     *
+     * @return zero if the clocks agree or the time of day went back
+     */
+    public Duration skipped() {
         Instant wallNow = wall.instant();
         long nanosNow = nanos.getAsLong();
-        Duration byWall = Duration.between(before.wall(), wallNow);
-        Duration byNanos = Duration.ofNanos(Math.max(0, nanosNow - before.nanos()));
-        Duration elapsed = byWall.compareTo(byNanos) > 0 ? byWall : byNanos;
-        return new Reading(before.steady().plus(elapsed), wallNow, nanosNow);
+        Duration ahead = Duration.between(comparedWall, wallNow).minusNanos(nanosNow - comparedNanos);
+        comparedWall = wallNow;
+        comparedNanos = nanosNow;
+        return ahead.compareTo(SMALLEST_SKIP) < 0 ? Duration.ZERO : ahead;
     }
 }
--- a/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
+++ b/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
@@ -103,6 +103,7 @@
                 "quote",
                 "banquets",
                 Importance.HIGH,
+                Importance.HIGH,
                 3,
                 900,
                 2,
--- a/standin/src/main/java/org/heatherhaven/standin/measure/Slopes.java
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Slopes.java
@@ -283,6 +283,7 @@
                 "open",
                 "",
                 Importance.NORMAL,
+                Importance.NORMAL,
                 0,
                 1_000,
                 1,
