--- a/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
+++ b/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
@@ -171,9 +171,13 @@
     public void start() {
         peerServer.listen(group, settings.peers());
         operators.listen(group, settings.operators());
-        Thread control = new Thread(loop, "control");
-        control.setDaemon(true);
-        control.start();
+        if (settings.sharedThreads()) {
+            loop.share(group);
+        } else {
+            Thread control = new Thread(loop, "control");
+            control.setDaemon(true);
+            control.start();
+        }
         announce();
         targetCalls.ifPresent(
                 server -> server.listen(group, settings.targetCalls().orElseThrow()));
--- a/node/src/main/java/org/heatherhaven/node/control/ControlLoop.java
+++ b/node/src/main/java/org/heatherhaven/node/control/ControlLoop.java
@@ -3,6 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.event.ControlEvent;
@@ -12,16 +15,20 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Owns the state of a node and runs the reducer on one thread. */
+/**
+ * Owns the state of a node and runs the reducer: on a thread of its own, or, where a machine runs one thread at a time
+ * and a switch costs more than a step, on the traffic threads, one of them at a time.
+ */
 public final class ControlLoop implements Runnable {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(ControlLoop.class);
-    private static final Duration TICK = Duration.ofMillis(25);
+    private static final Duration TICK = Duration.ofMillis(50);
 
     private final Mailbox<Event> mailbox;
     private final SteadyClock clock;
     private final EffectRunner runner;
     private volatile NodeState state;
+    private final AtomicBoolean busy = new AtomicBoolean();
     private volatile boolean stopped;
     private Instant nextTick;
 
@@ -55,6 +62,32 @@
         }
     }
 
+    /**
+     * Runs on threads that add events from now on, instead of on one of its own.
+     *
+     * @param timer calls for the ticks
+     */
+    public void share(ScheduledExecutorService timer) {
+        mailbox.workedOffBy(this::workOff);
+        timer.scheduleWithFixedDelay(
+                () -> mailbox.put(new ControlEvent.Tick()), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Works off the mailbox, unless another thread is at it; that one then sees what was added meanwhile. */
+    private void workOff() {
+        while (!stopped && mailbox.size() > 0 && busy.compareAndSet(false, true)) {
+            try {
+                Optional<Event> event = mailbox.poll();
+                while (event.isPresent()) {
+                    step(event.get());
+                    event = mailbox.poll();
+                }
+            } finally {
+                busy.set(false);
+            }
+        }
+    }
+
     private void step(Event event) {
         Duration skipped = clock.skipped();
         if (!skipped.isZero()) {
--- a/node/src/main/java/org/heatherhaven/node/control/Mailbox.java
+++ b/node/src/main/java/org/heatherhaven/node/control/Mailbox.java
@@ -20,6 +20,7 @@
     private final ConcurrentLinkedQueue<E> queue = new ConcurrentLinkedQueue<>();
     private final AtomicInteger size = new AtomicInteger();
     private volatile Thread sleeper;
+    private volatile Runnable worker = () -> {};
 
     /**
      * Creates an empty mailbox.
@@ -30,6 +31,15 @@
         this.capacity = capacity;
     }
 
+    /**
+     * Lets whoever adds an event work it off, instead of a thread that waits for it.
+     *
+     * @param next works off the mailbox, or does nothing if another thread is at it
+     */
+    public void workedOffBy(Runnable next) {
+        worker = next;
+    }
+
     /**
      * Adds an event that brings new work.
      *
@@ -104,5 +114,6 @@
         if (waiting != null) {
             LockSupport.unpark(waiting);
         }
+        worker.run();
     }
 }
--- a/node/src/main/java/org/heatherhaven/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettings.java
@@ -28,6 +28,7 @@
  * @param maxFrameBytes largest frame accepted from a peer, bytes
  * @param mailboxCapacity events that may wait for the control thread
  * @param threads traffic threads
+ * @param sharedThreads true if control runs on the traffic threads, for machines that run one thread at a time
  * @param tls files of TLS, if configured
  * @param rules settings of the decisions
  */
@@ -46,6 +47,7 @@
         int maxFrameBytes,
         int mailboxCapacity,
         int threads,
+        boolean sharedThreads,
         Optional<TlsFiles> tls,
         NodeRules rules) {
 
--- a/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
@@ -85,6 +85,7 @@
         int frameBytes = (int) limits.number("frame_bytes", MIN_BYTES, MAX_BYTES, Optional.of(DEFAULT_FRAME_BYTES));
         int mailbox = (int) limits.number("waiting_events", 1, MAX_COUNT, Optional.of(DEFAULT_MAILBOX));
         int threads = (int) limits.number("traffic_threads", 1, MAX_THREADS, Optional.of(DEFAULT_THREADS));
+        boolean shared = limits.flag("shared_threads", false);
         NodeRules rules = rules(root).withHomeService(target.service());
         Optional<TlsFiles> tls = tls(root.table("tls"));
         root.refuseUnknown();
@@ -103,6 +104,7 @@
                 frameBytes,
                 mailbox,
                 threads,
+                shared,
                 tls,
                 rules);
     }
--- a/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
@@ -131,6 +131,7 @@
                 FRAME_BYTES,
                 MAILBOX,
                 1,
+                false,
                 Optional.empty(),
                 rules);
     }
