--- a/core/src/main/java/org/heatherhaven/core/logic/admission/Gauge.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/Gauge.java
@@ -23,14 +23,11 @@
 
     private static final double SMOOTHING = 0.25;
 
-    /** Rise a second for work of twice the capacity. */
-    private static final double RISE = 0.45;
-
-    /** Fall a second for a target without work. */
-    private static final double FALL = 0.45;
-
-    /** Rise a second for a queue as long as the target is wide. */
-    private static final double QUEUE_RISE = 0.25;
+    /**
+     * Change a second for work that exceeds the aim by the whole capacity. What is shut out is missed here only about a
+     * second later; a steeper change would overshoot by more than it corrects.
+     */
+    private static final double GAIN = 0.18;
 
     private static final double LARGEST_EXCESS = 1.0;
     private static final double NANOS_PER_SECOND = 1e9;
@@ -39,14 +36,18 @@
         return new Gauge(arrivals + 1, rate, level);
     }
 
-    /** Closes a window. */
-    Gauge closed(Duration window, double limit, Duration serviceTime, int queued) {
+    /**
+     * Closes a window.
+     *
+     * <p>Without a queue there is room, however long the runs take: a target whose runs wait for others is not short of
+     * anything itself.
+     */
+    Gauge closed(Duration window, double limit, Duration serviceTime, boolean queued) {
         double seconds = window.toNanos() / NANOS_PER_SECOND;
         double smoothed = rate + SMOOTHING * (arrivals / seconds - rate);
         double busy = smoothed * serviceTime.toNanos() / NANOS_PER_SECOND / Math.max(1, limit);
-        double excess = Math.min(LARGEST_EXCESS, busy - AIM);
-        double change = excess > 0 ? RISE * excess : FALL * excess;
-        change += QUEUE_RISE * Math.min(1, queued / Math.max(1, limit));
+        double excess = Math.max(-LARGEST_EXCESS, Math.min(LARGEST_EXCESS, busy - AIM));
+        double change = GAIN * (queued ? excess : Math.min(0, excess));
         double next = Math.max(0, Math.min(1, level + change * seconds));
         return new Gauge(0, smoothed, next);
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
@@ -43,10 +43,10 @@
     private static final double LIMIT_MIN = 1;
     private static final double FAILURE_PART = 0.1;
 
-    /** Work already begun first, then the more urgent, then those that came first. */
-    private static final Comparator<Waiting> RANKED = Comparator.comparing((Waiting call) -> !call.nested())
-            .thenComparingInt(call ->
+    /** The more important first, then what is given up earliest. */
+    private static final Comparator<Waiting> RANKED = Comparator.comparingInt((Waiting call) ->
                     ShedRule.urgency(call.head().teamImportance(), call.head().importance()))
+            .thenComparing(Waiting::deadline)
             .thenComparing(Waiting::arrivedAt);
 
     private GuardLogic() {}
@@ -66,7 +66,7 @@
                 key, head, Waiting.cohortOf(head.rootId()), now, now.plusMillis(Math.max(0, head.remainingMillis())));
         ClassKey classKey = classOf(head);
         GuardState next = state.withDemand(state.demand().arrived(classKey))
-                .withGauge(state.gauge().arrived());
+                .withGauge(head.repeat() ? state.gauge() : state.gauge().arrived());
         if (!now.isBefore(state.refuseFrom())) {
             return refuse(next, call, Reason.DRAINING, "the node of the target is leaving", out);
         }
@@ -245,12 +245,7 @@
             next = next.withLimit(Math.max(LIMIT_MIN, next.limit() * BACK_OFF));
         }
         next = next.withServed(fade(next))
-                .withGauge(next.gauge()
-                        .closed(
-                                WINDOW,
-                                next.limit(),
-                                next.serviceTime(),
-                                next.queue().size()));
+                .withGauge(next.gauge().closed(WINDOW, next.limit(), next.serviceTime(), demand.saturated()));
         if (!demand.saturated() || !next.mode().sheds()) {
             return next.withWindow(next.capacity(), next.keeps().relaxed(), now.plus(WINDOW));
         }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -22,6 +22,9 @@
 /** Sends a call to targets, one attempt after another, within its retry budget. */
 final class Attempts {
 
+    /** Nodes that may turn a call back before it is refused; nothing ran, so that no retry is spent on them. */
+    private static final int MAX_TURNED_BACK = 3;
+
     private Attempts() {}
 
     static void send(Step step, EntryCall call) {
@@ -65,6 +68,7 @@
                 Duration.between(step.now, info.deadline()).toMillis(),
                 call.lent(),
                 info.unrepeatable(),
+                call.attempt() > 1,
                 info.policyVersion());
     }
 
@@ -108,8 +112,13 @@
         String service = info.service();
         boolean harmless = refusal.outcome() == Outcome.NOT_RUN || !info.unrepeatable();
         boolean sensible = resendable && harmless && refusal.reason().retryable() && step.now.isBefore(info.deadline());
-        boolean budgeted = step.rules.retry().allows(call.attempt(), call.retries());
-        if (!sensible || !budgeted || !step.calls.ratio().allows(service, step.rules.retryLimits())) {
+        boolean reached =
+                refusal.outcome() != Outcome.NOT_RUN || refusal.reason().fromTarget();
+        boolean budgeted = reached
+                ? step.rules.retry().allows(call.attempt(), call.retries())
+                        && step.calls.ratio().allows(service, step.rules.retryLimits())
+                : call.tried().size() < MAX_TURNED_BACK;
+        if (!sensible || !budgeted) {
             refuse(step, call, refusal);
             return;
         }
@@ -119,8 +128,12 @@
                 "attempt " + call.attempt() + " ended with " + refusal.reason().label() + ", " + call.retries()
                         + " retries left",
                 "retry");
-        step.calls = step.calls.withRatio(step.calls.ratio().retried(service, step.rules.retryLimits()));
         step.out.add(new Effect.CountRetry(refusal.reason()));
+        if (!reached) {
+            send(step, call);
+            return;
+        }
+        step.calls = step.calls.withRatio(step.calls.ratio().retried(service, step.rules.retryLimits()));
         send(step, call.paidForRetry());
     }
 
--- a/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
@@ -37,7 +37,7 @@
     private static final int UNKNOWN_LOAD = 500;
 
     /** Cost of leaving the zone, in parts of a full target. */
-    private static final double ZONE_COST = 0.1;
+    private static final double ZONE_COST = 0.3;
 
     private static final double LOAD_UNIT = 1_000;
 
--- a/core/src/main/java/org/heatherhaven/core/model/CallHead.java
+++ b/core/src/main/java/org/heatherhaven/core/model/CallHead.java
@@ -21,6 +21,7 @@
  * @param remainingMillis time left until the deadline, milliseconds
  * @param retries part of the retry budget handed down with the call
  * @param unrepeatable true if the call must run at most once
+ * @param repeat true if another target was tried before
  * @param policyVersion version that admitted the root request
  */
 public record CallHead(
@@ -40,4 +41,5 @@
         long remainingMillis,
         int retries,
         boolean unrepeatable,
+        boolean repeat,
         long policyVersion) {}
--- a/core/src/main/java/org/heatherhaven/core/model/Reason.java
+++ b/core/src/main/java/org/heatherhaven/core/model/Reason.java
@@ -58,6 +58,15 @@
         return retryable;
     }
 
+    /**
+     * Tells whether a refusal with proof came from a target itself; all others were turned back before.
+     *
+     * @return true if the call was sent to a target
+     */
+    public boolean fromTarget() {
+        return this == TARGET_OVERLOADED || this == TARGET_REPLACED;
+    }
+
     /**
      * Name shown to callers and used in metric names.
      *
--- a/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
+++ b/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
@@ -46,6 +46,7 @@
                 remainingMillis,
                 0,
                 false,
+                false,
                 1);
     }
 
--- a/node/src/main/java/org/heatherhaven/node/wire/CallCodec.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/CallCodec.java
@@ -100,6 +100,7 @@
         packer.packLong(call.remainingMillis());
         packer.packInt(call.retries());
         packer.packBoolean(call.unrepeatable());
+        packer.packBoolean(call.repeat());
         packer.packLong(call.policyVersion());
         packer.packBoolean(offer.hasBody());
     }
@@ -122,6 +123,7 @@
                 unpacker.unpackLong(),
                 unpacker.unpackInt(),
                 unpacker.unpackBoolean(),
+                unpacker.unpackBoolean(),
                 unpacker.unpackLong());
         return new OfferHead(call, unpacker.unpackBoolean());
     }
--- a/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
+++ b/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
@@ -108,6 +108,7 @@
                 900,
                 2,
                 false,
+                false,
                 12);
         expect(new OfferHead(head, true), roundTrip(FrameType.OFFER, new OfferHead(head, true)));
     }
--- a/standin/src/main/java/org/heatherhaven/standin/measure/Slopes.java
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Slopes.java
@@ -288,6 +288,7 @@
                 1_000,
                 1,
                 false,
+                false,
                 1);
         long began = System.nanoTime();
         for (int i = 1; i <= CALLS; i++) {
