--- /dev/null
+++ b/node/src/test/java/org/heatherhaven/node/target/ForwardingDialect.java
@@ -0,0 +1,49 @@
+package org.heatherhaven.node.target;
+
+import java.time.Duration;
+import java.util.List;
+
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.heatherhaven.core.event.TrafficEvent.CallRequest;
+import org.heatherhaven.core.event.TrafficEvent.Door;
+import org.heatherhaven.core.model.CallHead;
+import org.heatherhaven.core.model.Header;
+import org.heatherhaven.core.model.Refusal;
+import org.heatherhaven.core.model.TargetRef;
+import org.heatherhaven.node.http.CallDialect;
+
+/** A dialect of which a test changes a part. */
+abstract class ForwardingDialect implements CallDialect {
+
+    private final CallDialect other;
+
+    ForwardingDialect(CallDialect other) {
+        this.other = other;
+    }
+
+    @Override
+    public CallRequest request(Door door, String method, String uri, HttpHeaders headers) {
+        return other.request(door, method, uri, headers);
+    }
+
+    @Override
+    public void addForTarget(HttpHeaders out, CallHead head, TargetRef target, String context, Duration timeout) {
+        other.addForTarget(out, head, target, context, timeout);
+    }
+
+    @Override
+    public List<Header> answerHeaders(HttpHeaders headers) {
+        return other.answerHeaders(headers);
+    }
+
+    @Override
+    public void addForCaller(HttpHeaders out, CallHead head) {
+        other.addForCaller(out, head);
+    }
+
+    @Override
+    public FullHttpResponse refusal(Refusal refusal, String requestId, long policyVersion) {
+        return other.refusal(refusal, requestId, policyVersion);
+    }
+}
