--- a/cli/src/main/java/org/heatherhaven/cli/run/NodeCommand.java
+++ b/cli/src/main/java/org/heatherhaven/cli/run/NodeCommand.java
@@ -55,12 +55,21 @@
                 Runtime.getRuntime().halt(TERMINATED);
             }
         });
+        SettingsWatch watch = new SettingsWatch(settingsPath(), () -> reload(node));
+        Signal.handle(new Signal("HUP"), signal -> watch.readAgain());
         node.start();
+        watch.start();
         node.awaitLeft();
         node.stop();
         return ExitCode.OK;
     }
 
+    private void reload(NodeDaemon node) {
+        TomlTable file = TomlTable.read(settingsPath());
+        adapter().ifPresent(adapter -> adapter.read(file));
+        node.reload(NodeSettingsReader.read(file));
+    }
+
     private Path settingsPath() {
         return Optional.ofNullable(settingsFile)
                 .or(() -> Optional.ofNullable(System.getenv(SETTINGS_VARIABLE)).map(Path::of))
--- a/core/src/main/java/org/heatherhaven/core/event/ControlEvent.java
+++ b/core/src/main/java/org/heatherhaven/core/event/ControlEvent.java
@@ -56,6 +56,14 @@
      */
     record TargetLeft(String instance, long ticket) implements ControlEvent {}
 
+    /**
+     * Settings were read again.
+     *
+     * @param homeService service named as the origin of calls until the target reports one
+     * @param keysTrustedFor age of the platform's word after which keys are no longer trusted
+     */
+    record SettingsChanged(String homeService, Duration keysTrustedFor) implements ControlEvent {}
+
     /** This node shall take no new work, finish what it has, and leave. */
     record DrainAsked() implements ControlEvent {}
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
@@ -43,11 +43,10 @@
     private static final double LIMIT_MIN = 1;
     private static final double FAILURE_PART = 0.1;
 
-    /** The more important first, then what is given up earliest. */
+    /** The more important first, then what must be answered earliest to be worth the most. */
     private static final Comparator<Waiting> RANKED = Comparator.comparingInt((Waiting call) ->
                     ShedRule.urgency(call.head().teamImportance(), call.head().importance()))
-            .thenComparing(Waiting::deadline)
-            .thenComparing(Waiting::arrivedAt);
+            .thenComparing(call -> call.arrivedAt().plusMillis(call.head().aimMillis()));
 
     private GuardLogic() {}
 
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -66,6 +66,7 @@
                 info.teamImportance(),
                 info.depth(),
                 Duration.between(step.now, info.deadline()).toMillis(),
+                info.route().limits().aim().toMillis(),
                 call.lent(),
                 info.unrepeatable(),
                 call.attempt() > 1,
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
@@ -10,6 +10,7 @@
 import org.heatherhaven.core.event.ControlEvent.LinksClosed;
 import org.heatherhaven.core.event.ControlEvent.PatchSubmitted;
 import org.heatherhaven.core.event.ControlEvent.PeerSaid;
+import org.heatherhaven.core.event.ControlEvent.SettingsChanged;
 import org.heatherhaven.core.event.ControlEvent.TargetLeft;
 import org.heatherhaven.core.event.ControlEvent.TargetReported;
 import org.heatherhaven.core.event.ControlEvent.TimeSkipped;
@@ -35,6 +36,7 @@
 import org.heatherhaven.core.logic.admission.Running;
 import org.heatherhaven.core.logic.callgraph.CallGraphLogic;
 import org.heatherhaven.core.logic.membership.MembershipLogic;
+import org.heatherhaven.core.logic.node.NodeRules.KeyTrust;
 import org.heatherhaven.core.logic.placement.PlacementLogic;
 import org.heatherhaven.core.logic.policy.PolicyLogic;
 import org.heatherhaven.core.logic.policy.PolicyState;
@@ -172,6 +174,13 @@
             onTick(step);
         } else if (event instanceof TimeSkipped skip) {
             onTimeSkipped(step, skip.time());
+        } else if (event instanceof SettingsChanged changed) {
+            KeyTrust trust =
+                    new KeyTrust(changed.keysTrustedFor(), step.rules.keyTrust().peersVouch());
+            step.rules = step.rules
+                    .withHomeService(changed.homeService())
+                    .withLimits(step.rules.retryLimits(), trust, step.rules.drain());
+            step.note("node", "reload", "settings were read again", "home service " + changed.homeService());
         } else if (event instanceof PeerSaid said) {
             PeerTalk.heard(step, said.message());
         } else if (event instanceof PatchSubmitted submitted) {
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
@@ -37,7 +37,7 @@
 /** The parts of a node's state while one event is worked on; never leaves the step. */
 final class Step {
 
-    final NodeRules rules;
+    NodeRules rules;
     final Instant now;
     final Outbox out = new Outbox();
     PolicyState policy;
--- a/core/src/main/java/org/heatherhaven/core/model/CallHead.java
+++ b/core/src/main/java/org/heatherhaven/core/model/CallHead.java
@@ -19,6 +19,7 @@
  * @param teamImportance order of shedding that goes before it, from the team
  * @param depth 0 for a root request, one more for each call below
  * @param remainingMillis time left until the deadline, milliseconds
+ * @param aimMillis time from its arrival within which an answer is worth the most, milliseconds
  * @param retries part of the retry budget handed down with the call
  * @param unrepeatable true if the call must run at most once
  * @param repeat true if another target was tried before
@@ -39,6 +40,7 @@
         Importance teamImportance,
         int depth,
         long remainingMillis,
+        long aimMillis,
         int retries,
         boolean unrepeatable,
         boolean repeat,
--- a/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
+++ b/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
@@ -44,6 +44,7 @@
                 importance,
                 depth,
                 remainingMillis,
+                remainingMillis,
                 0,
                 false,
                 false,
--- a/node/src/main/java/org/heatherhaven/node/Interpreter.java
+++ b/node/src/main/java/org/heatherhaven/node/Interpreter.java
@@ -1,7 +1,5 @@
 package org.heatherhaven.node;
 
-import java.util.Set;
-
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.event.ControlEvent;
 import org.heatherhaven.core.event.Event;
@@ -11,24 +9,24 @@
 import org.heatherhaven.node.entry.EntryCalls;
 import org.heatherhaven.node.metrics.NodeMetrics;
 import org.heatherhaven.node.operator.DecisionLog;
+import org.heatherhaven.node.operator.DecisionLogger;
 import org.heatherhaven.node.operator.PatchDesk;
 import org.heatherhaven.node.peer.PeerLinks;
 import org.heatherhaven.node.peer.PeerServer;
 import org.heatherhaven.node.platform.PlatformGateway;
 import org.heatherhaven.node.target.GuardedCalls;
 import org.heatherhaven.node.target.TargetConnections;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Carries out the reducer's effects on sockets, platform and logs. */
 final class Interpreter implements EffectRunner {
 
-    private static final Logger LOGGER = LoggerFactory.getLogger(Interpreter.class);
-    private static final Set<String> CONTROL_SUBJECTS = Set.of("node", "policy", "target");
+    /** Enough to find a request of each kind of failure, few enough for a node under load. */
+    private static final int LOG_LINES_PER_KIND = 3;
 
     private final Owner self;
     private final Mailbox<Event> mailbox;
     private final Parts parts;
+    private final DecisionLogger logger = new DecisionLogger(LOG_LINES_PER_KIND);
 
     /**
      * What effects are carried out on.
@@ -140,22 +138,6 @@
 
     private void note(Effect.Note note) {
         parts.decisions().add(note.decision());
-        if (CONTROL_SUBJECTS.contains(note.decision().requestId())) {
-            LOGGER.info(
-                    "{} {}: {}, {}",
-                    note.decision().requestId(),
-                    note.decision().rule(),
-                    note.decision().measure(),
-                    note.decision().result());
-        } else {
-            LOGGER.atDebug()
-                    .addKeyValue("request_id", note.decision().requestId())
-                    .addKeyValue("policy_version", note.decision().policyVersion())
-                    .log(
-                            "{}: {}, {}",
-                            note.decision().rule(),
-                            note.decision().measure(),
-                            note.decision().result());
-        }
+        logger.log(note.decision());
     }
 }
--- a/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
+++ b/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
@@ -189,6 +189,9 @@
                 self.zone(),
                 settings.callers());
         integration.started(this);
+        if (settings.rehearses()) {
+            Rehearsal.run(integration.dialect(), clock.instant());
+        }
     }
 
     private void announce() {
@@ -209,6 +212,23 @@
         mailbox.put(new ControlEvent.DrainAsked());
     }
 
+    /**
+     * Takes settings that were read again; most hold until the process starts anew, and changes of those are said.
+     *
+     * @param next the settings
+     */
+    public void reload(NodeSettings next) {
+        mailbox.put(new ControlEvent.SettingsChanged(
+                next.target().service(), next.rules().keyTrust().limit()));
+        boolean moved = !next.callers().equals(settings.callers())
+                || !next.peers().equals(settings.peers())
+                || !next.target().address().equals(settings.target().address())
+                || !next.platformUrl().equals(settings.platformUrl());
+        if (moved) {
+            LOGGER.warn("Addresses changed in the settings; they hold from the next start on");
+        }
+    }
+
     private void closeCallers() {
         callers.closeConnections();
         targetCalls.ifPresent(CallerServer::closeConnections);
--- a/node/src/main/java/org/heatherhaven/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettings.java
@@ -29,6 +29,7 @@
  * @param mailboxCapacity events that may wait for the control thread
  * @param threads traffic threads
  * @param sharedThreads true if control runs on the traffic threads, for machines that run one thread at a time
+ * @param rehearses true if the code of calls is warmed up before they come
  * @param tls files of TLS, if configured
  * @param rules settings of the decisions
  */
@@ -48,6 +49,7 @@
         int mailboxCapacity,
         int threads,
         boolean sharedThreads,
+        boolean rehearses,
         Optional<TlsFiles> tls,
         NodeRules rules) {
 
--- a/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
@@ -86,6 +86,7 @@
         int mailbox = (int) limits.number("waiting_events", 1, MAX_COUNT, Optional.of(DEFAULT_MAILBOX));
         int threads = (int) limits.number("traffic_threads", 1, MAX_THREADS, Optional.of(DEFAULT_THREADS));
         boolean shared = limits.flag("shared_threads", false);
+        boolean rehearses = limits.flag("rehearsal", false);
         NodeRules rules = rules(root).withHomeService(target.service());
         Optional<TlsFiles> tls = tls(root.table("tls"));
         root.refuseUnknown();
@@ -105,6 +106,7 @@
                 mailbox,
                 threads,
                 shared,
+                rehearses,
                 tls,
                 rules);
     }
--- a/node/src/main/java/org/heatherhaven/node/wire/CallCodec.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/CallCodec.java
@@ -98,6 +98,7 @@
         packer.packInt(call.teamImportance().ordinal());
         packer.packInt(call.depth());
         packer.packLong(call.remainingMillis());
+        packer.packLong(call.aimMillis());
         packer.packInt(call.retries());
         packer.packBoolean(call.unrepeatable());
         packer.packBoolean(call.repeat());
@@ -121,6 +122,7 @@
                 constant(IMPORTANCES, unpacker),
                 unpacker.unpackInt(),
                 unpacker.unpackLong(),
+                unpacker.unpackLong(),
                 unpacker.unpackInt(),
                 unpacker.unpackBoolean(),
                 unpacker.unpackBoolean(),
--- a/node/src/test/java/org/heatherhaven/node/target/TargetConnectionsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/TargetConnectionsTest.java
@@ -94,6 +94,7 @@
                 Importance.HIGH,
                 0,
                 1_000,
+                200,
                 0,
                 unrepeatable,
                 false,
--- a/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
+++ b/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
@@ -106,6 +106,7 @@
                 Importance.HIGH,
                 3,
                 900,
+                300,
                 2,
                 false,
                 false,
--- a/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
@@ -132,6 +132,7 @@
                 MAILBOX,
                 1,
                 false,
+                false,
                 Optional.empty(),
                 rules);
     }
--- a/standin/src/main/java/org/heatherhaven/standin/measure/Slopes.java
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Slopes.java
@@ -286,6 +286,7 @@
                 Importance.NORMAL,
                 0,
                 1_000,
+                1_000,
                 1,
                 false,
                 false,
