Calls leave their zone only for a target with room

Change: another zone is taken only if its target is below the spill load; a call that was turned back is sent on only if some target has room. Not measured yet.

--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -118,7 +118,8 @@
         boolean budgeted = reached
                 ? step.rules.retry().allows(call.attempt(), call.retries())
                         && step.calls.ratio().allows(service, step.rules.retryLimits())
-                : call.tried().size() < MAX_TURNED_BACK;
+                : call.tried().size() < MAX_TURNED_BACK
+                        && RoutingLogic.hasRoom(step.routing, step.fleet, service, call.tried(), step.now);
         if (!sensible || !budgeted) {
             refuse(step, call, refusal);
             return;
--- a/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
@@ -28,7 +28,10 @@
     /** Load, in thousandths of its limit, beyond which a region's calls spill over to other regions. */
     private static final int SPILL_LOAD = 1_500;
 
-    /** Load, in thousandths of its limit, beyond which a zone's calls spill over to other zones. */
+    /**
+     * Load, in thousandths of its limit, beyond which a zone's calls spill over to targets of other zones that are below
+     * it. Where all are full, the way would bring nothing.
+     */
     private static final int ZONE_SPILL_LOAD = 900;
 
     /** Without newer word a target is held for no more than half full, so that it is tried again. */
@@ -82,15 +85,31 @@
                 region.stream().filter(member -> member.zone().equals(home)).toList();
         if (!zone.isEmpty()) {
             Member local = better(state, home, zone, random, now);
-            if (loadOf(state, local, now) < ZONE_SPILL_LOAD) {
-                return Optional.of(local.id());
-            }
+            Member other = better(state, home, region, random, now);
+            boolean worthTheWay =
+                    loadOf(state, local, now) >= ZONE_SPILL_LOAD && loadOf(state, other, now) < ZONE_SPILL_LOAD;
+            return Optional.of(worthTheWay ? other.id() : local.id());
         }
         Member near = better(state, home, region, random, now);
         boolean full = state.of(near.id(), now).load() > SPILL_LOAD;
         return Optional.of(full ? better(state, home, healthy, random, now).id() : near.id());
     }
 
+    /**
+     * Tells whether a target that was not tried has room, as far as is known here.
+     *
+     * @param state the state
+     * @param fleet the members
+     * @param service service that shall run the call
+     * @param tried nodes that were tried
+     * @param now the time
+     * @return false if all that are left are known to be full
+     */
+    public static boolean hasRoom(
+            RoutingState state, MembershipState fleet, String service, Set<NodeId> tried, Instant now) {
+        return able(fleet, service, tried).stream().anyMatch(member -> loadOf(state, member, now) < ZONE_SPILL_LOAD);
+    }
+
     /** Members in service; if there are none, suspected ones, because a suspicion is often wrong. */
     private static List<Member> able(MembershipState fleet, String service, Set<NodeId> tried) {
         List<Member> able = new ArrayList<>();
