--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
@@ -354,6 +354,19 @@
         return probeNeighbours(addNews(state.withMember(self), self), rumours, now, out);
     }
 
+    /**
+     * Tells the neighbours something at once, instead of with the next probe.
+     *
+     * @param state the state
+     * @param rumours what is told
+     * @param now the time
+     * @param out effects
+     * @return the new state
+     */
+    public static MembershipState tellNeighbours(MembershipState state, Rumours rumours, Instant now, Outbox out) {
+        return probeNeighbours(state, rumours, now, out);
+    }
+
     /**
      * Changes the service that this node stands for and tells it at once.
      *
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.logic.membership.MembershipLogic;
 import org.heatherhaven.core.logic.membership.Rings;
 import org.heatherhaven.core.logic.once.OnceLogic;
 import org.heatherhaven.core.logic.policy.Policy;
@@ -18,7 +19,6 @@
 import org.heatherhaven.core.message.PolicyPage;
 import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.NodeId;
-import org.heatherhaven.core.model.PolicySnapshot;
 import org.heatherhaven.core.model.PolicyVersion;
 import org.heatherhaven.core.model.RightId;
 import org.heatherhaven.core.model.Route;
@@ -42,9 +42,12 @@
         List<PolicyVersion> fresh = step.policy.recent().stream()
                 .filter(version -> version.version() > versionBefore)
                 .toList();
-        Optional<PolicySnapshot> whole = fresh.isEmpty() ? Optional.of(policy.toSnapshot()) : Optional.empty();
-        for (NodeId neighbour : step.fleet.neighbours()) {
-            step.out.add(new Effect.Send(neighbour, new PolicyPage(whole, fresh)));
+        if (fresh.isEmpty()) {
+            // A whole policy is large: neighbours hear its number, and those that lack it ask for it once.
+            step.fleet = MembershipLogic.tellNeighbours(step.fleet, step.rumours(), step.now, step.out);
+        }
+        for (NodeId neighbour : fresh.isEmpty() ? List.<NodeId>of() : step.fleet.neighbours()) {
+            step.out.add(new Effect.Send(neighbour, new PolicyPage(Optional.empty(), fresh)));
         }
         for (Team team : policy.teams().values()) {
             boolean leased = step.rules.quota() == QuotaMode.LEASED;
