--- a/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
+++ b/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
@@ -1,5 +1,6 @@
 package org.heatherhaven.node;
 
+import java.nio.channels.spi.SelectorProvider;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -93,7 +94,11 @@
     public NodeDaemon(NodeSettings settings, Integration.Factory factory) {
         this.settings = settings;
         this.mailbox = new Mailbox<>(settings.mailboxCapacity());
-        this.group = new NioEventLoopGroup(settings.threads(), new DefaultThreadFactory("traffic", true));
+        this.group = new NioEventLoopGroup(
+                settings.threads(),
+                new DefaultThreadFactory("traffic", true),
+                SelectorProvider.provider(),
+                () -> new Coalescing(settings.coalescing(), System::nanoTime));
         this.integration = factory.create(new Integration.Wiring(group, clock, metrics));
         this.self = self(settings, clock.instant());
         TlsContexts tls = TlsContexts.of(settings.tls());
--- a/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
@@ -36,6 +36,8 @@
     private static final long MAX_BYTES = Integer.MAX_VALUE;
     private static final long MIN_BYTES = 1_024;
     private static final long MAX_THREADS = 64;
+    private static final long MAX_COALESCING_US = 20_000;
+    private static final long NANOS_PER_MICRO = 1_000;
 
     private NodeSettingsReader() {}
 
@@ -87,6 +89,8 @@
         int threads = (int) limits.number("traffic_threads", 1, MAX_THREADS, Optional.of(DEFAULT_THREADS));
         boolean shared = limits.flag("shared_threads", false);
         boolean rehearses = limits.flag("rehearsal", false);
+        Duration coalescing = Duration.ofNanos(
+                NANOS_PER_MICRO * limits.number("coalescing_us", 0, MAX_COALESCING_US, Optional.of(0L)));
         NodeRules rules = rules(root).withHomeService(target.service());
         Optional<TlsFiles> tls = tls(root.table("tls"));
         root.refuseUnknown();
@@ -107,6 +111,7 @@
                 threads,
                 shared,
                 rehearses,
+                coalescing,
                 tls,
                 rules);
     }
--- a/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
@@ -133,6 +133,7 @@
                 1,
                 false,
                 false,
+                Duration.ZERO,
                 Optional.empty(),
                 rules);
     }
