--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
@@ -209,7 +209,9 @@
         Spreading.review(step);
         PolicyState policy = PolicyLogic.tick(step.policy, step.duties.watcher(), step.now, step.out);
         step.policy = policy;
-        step.rights = RightsLogic.tick(step.rights, step.fleet, step.now, step.out);
+        if (!step.rights.rights().isEmpty() || !step.rights.reading().isEmpty()) {
+            step.rights = RightsLogic.tick(step.rights, step.fleet, step.now, step.out);
+        }
         Spreading.tickHoldings(step);
         step.pressure = step.pressure.prune(step.now);
         step.routePressure = step.routePressure.prune(step.now);
--- a/node/src/main/java/org/heatherhaven/node/Interpreter.java
+++ b/node/src/main/java/org/heatherhaven/node/Interpreter.java
@@ -21,7 +21,7 @@
 final class Interpreter implements EffectRunner {
 
     /** Enough to find a request of each kind of failure, few enough for a node under load. */
-    private static final int LOG_LINES_PER_KIND = 3;
+    private static final int LOG_LINES_PER_KIND = 1;
 
     private final Owner self;
     private final Mailbox<Event> mailbox;
--- a/node/src/main/java/org/heatherhaven/node/control/ControlLoop.java
+++ b/node/src/main/java/org/heatherhaven/node/control/ControlLoop.java
@@ -22,7 +22,7 @@
 public final class ControlLoop implements Runnable {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(ControlLoop.class);
-    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration TICK = Duration.ofMillis(100);
 
     private final Mailbox<Event> mailbox;
     private final SteadyClock clock;
