A list of members vouches for no key; the proofs of exclusive rights lease their shares

ExclusiveRightsTest looks at rights of shares, which only exist with leased shares. Change: only peers count as heard; ExclusiveRightsTest asks for leased shares, its checks are as they were.

--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
@@ -214,7 +214,8 @@
                 .toList();
         Rings.rendezvous("join|" + state.self().id(), others, Rings.RINGS)
                 .forEach(seed -> out.add(new Effect.Send(seed.id(), new MembersPull(state.self(), "", true))));
-        return next.withHeardAt(now);
+        // The list is no word of a peer: it vouches for nothing that a peer would know.
+        return next;
     }
 
     /**
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipState.java
@@ -224,7 +224,7 @@
     }
 
     /**
-     * Notes that a peer or the platform was heard.
+     * Notes that a peer was heard.
      *
      * @param at when
      * @return the new state
--- a/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
@@ -29,6 +29,7 @@
 import org.heatherhaven.core.logic.node.NodeReducer;
 import org.heatherhaven.core.logic.node.NodeRules;
 import org.heatherhaven.core.logic.node.NodeState;
+import org.heatherhaven.core.logic.node.QuotaMode;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
 import org.heatherhaven.core.model.Member;
@@ -58,6 +59,7 @@
     private final Map<String, BiConsumer<TestNode, OfferKey>> targets = new HashMap<>();
     private Faults faults;
     private boolean platformDown;
+    private QuotaMode quotaMode = QuotaMode.PLACED;
     private Instant now = START;
     private long order;
     private Duration workTime = Duration.ofMillis(20);
@@ -95,6 +97,14 @@
         faults = next;
     }
 
+    public void setQuotaMode(QuotaMode next) {
+        quotaMode = next;
+    }
+
+    public QuotaMode quotaMode() {
+        return quotaMode;
+    }
+
     public void setPlatformDown(boolean down) {
         platformDown = down;
     }
--- a/core/src/test/java/org/heatherhaven/core/proof/ExclusiveRightsTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/ExclusiveRightsTest.java
@@ -23,7 +23,7 @@
     @Property(tries = 60, seed = "20261204")
     void noTwoNodesUseARightAtOnceUnderFreezesKillsLossesAndLateWrites(
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(200, 50, 2));
+        SmallFleet fleet = Fleets.startedWithLeasedShares(seed, Faults.NONE, 4, Policies.first(200, 50, 2));
         Fleets.keepCalling(fleet, Duration.ofSeconds(60), 5);
         fleet.run(Duration.ofSeconds(2));
         fleet.setFaults(Faults.HARSH);
@@ -58,7 +58,7 @@
 
     @Property(tries = 20, seed = "20261204")
     void aRightIsUsableAgainSoonAfterItsHolderWasKilled(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(200, 50, 1));
+        SmallFleet fleet = Fleets.startedWithLeasedShares(seed, Faults.NONE, 4, Policies.first(200, 50, 1));
         RightId share = new RightId(RightId.Kind.SHARE, "banquets", 0);
         fleet.run(Duration.ofSeconds(2));
         TestNode holder = userOf(fleet, share).orElseThrow();
@@ -71,7 +71,7 @@
 
     @Property(tries = 20, seed = "20261204")
     void anOutageOfThePlatformCostsNothingWhilePairsLive(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-        SmallFleet fleet = Fleets.started(seed, Faults.NONE, 4, Policies.first(200, 50, 1));
+        SmallFleet fleet = Fleets.startedWithLeasedShares(seed, Faults.NONE, 4, Policies.first(200, 50, 1));
         RightId share = new RightId(RightId.Kind.SHARE, "banquets", 0);
         fleet.run(Duration.ofSeconds(2));
         fleet.setPlatformDown(true);
--- a/core/src/test/java/org/heatherhaven/core/proof/Fleets.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/Fleets.java
@@ -10,6 +10,7 @@
 import org.heatherhaven.core.fleet.SmallFleet;
 import org.heatherhaven.core.fleet.TestNode;
 import org.heatherhaven.core.logic.node.NodeRules;
+import org.heatherhaven.core.logic.node.QuotaMode;
 import org.heatherhaven.core.logic.once.OnceLogic.LedgerLimits;
 import org.heatherhaven.core.model.PolicyPatch;
 
@@ -24,7 +25,17 @@
     private Fleets() {}
 
     static SmallFleet started(long seed, Faults faults, int nodes, PolicyPatch policy) {
+        return started(new SmallFleet(seed, faults), seed, nodes, policy);
+    }
+
+    /** A fleet in which shares of rates are exclusive rights. */
+    static SmallFleet startedWithLeasedShares(long seed, Faults faults, int nodes, PolicyPatch policy) {
         SmallFleet fleet = new SmallFleet(seed, faults);
+        fleet.setQuotaMode(QuotaMode.LEASED);
+        return started(fleet, seed, nodes, policy);
+    }
+
+    private static SmallFleet started(SmallFleet fleet, long seed, int nodes, PolicyPatch policy) {
         for (int i = 0; i < nodes; i++) {
             start(fleet, i, seed);
         }
@@ -39,7 +50,7 @@
                 "10.0.0." + index + ":7000",
                 "zone-" + index % 3,
                 SERVICES.get(index % SERVICES.size()),
-                NodeRules.defaults(seed + index).withLedger(LEDGER));
+                NodeRules.defaults(seed + index).withLedger(LEDGER).withQuota(fleet.quotaMode()));
     }
 
     static Instant clock(TestNode node, SmallFleet fleet) {
