--- /dev/null
+++ b/core/src/test/java/org/heatherhaven/core/logic/admission/LeavingTargetTest.java
@@ -0,0 +1,89 @@
+package org.heatherhaven.core.logic.admission;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+
+import net.jqwik.api.Example;
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.effect.Outbox;
+import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.model.CallHead;
+import org.heatherhaven.core.model.Importance;
+import org.heatherhaven.core.model.Outcome;
+import org.heatherhaven.core.model.TargetRef;
+
+/** The guard of a target that leaves hands it nothing more, whoever has not heard of it. */
+class LeavingTargetTest {
+
+    private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+    private static final Duration GRACE = Duration.ofMillis(300);
+    private static final int SLOTS = 10;
+
+    private static CallHead head(int number) {
+        return new CallHead(
+                "r" + number,
+                "r" + number,
+                "host",
+                "GET",
+                "/x",
+                List.of(),
+                "origin",
+                "service",
+                "route",
+                "team",
+                Importance.HIGH,
+                Importance.HIGH,
+                0,
+                10_000,
+                1_000,
+                0,
+                false,
+                false,
+                1);
+    }
+
+    private static GuardState leaving(int calls, Outbox out) {
+        GuardState state = GuardLogic.targetIs(
+                GuardState.start(AdmissionMode.RANKED, SLOTS, NOW), new TargetRef("i-1", "10.0.0.1:80"), SLOTS);
+        for (int call = 0; call < calls; call++) {
+            state = GuardLogic.offered(state, new OfferKey(1, call), head(call), NOW, out);
+        }
+        return GuardLogic.targetLeaves(state, NOW.plus(GRACE));
+    }
+
+    private static long ran(Outbox out) {
+        return out.effects().stream()
+                .filter(effect -> effect instanceof Effect.RunOffer)
+                .count();
+    }
+
+    private static long refusedWithProof(Outbox out) {
+        return out.effects().stream()
+                .filter(effect -> effect instanceof Effect.RefuseOffer refuse
+                        && refuse.refusal().outcome() == Outcome.NOT_RUN)
+                .count();
+    }
+
+    @Example
+    void whatIsOfferedAfterTheGraceIsRefusedWithProof() {
+        GuardState state = leaving(0, new Outbox());
+        Outbox out = new Outbox();
+        GuardLogic.offered(state, new OfferKey(1, 99), head(99), NOW.plus(GRACE), out);
+        if (ran(out) != 0 || refusedWithProof(out) != 1) {
+            throw new AssertionError("effects " + out.effects());
+        }
+    }
+
+    @Example
+    void whatStillWaitsIsGivenBackAndNotRun() {
+        Outbox before = new Outbox();
+        GuardState state = leaving(SLOTS + 3, before);
+        int waiting = state.queue().size();
+        Outbox out = new Outbox();
+        GuardState later = GuardLogic.tick(state, NOW.plusSeconds(2), out);
+        if (waiting == 0 || refusedWithProof(out) != waiting || !later.queue().isEmpty()) {
+            throw new AssertionError(waiting + " waited, effects " + out.effects());
+        }
+    }
+}
