--- a/cli/src/main/java/org/heatherhaven/cli/run/Logging.java
+++ b/cli/src/main/java/org/heatherhaven/cli/run/Logging.java
@@ -5,12 +5,20 @@
 /** Chooses the form of the log before the first line is written. */
 final class Logging {
 
+    private static final String STRUCTURED = "json";
+
+    private static volatile String form = "text";
+
     private Logging() {}
 
     static void configure(String format) {
-        if (!format.equals("text") && !format.equals("json")) {
+        if (!format.equals("text") && !format.equals(STRUCTURED)) {
             throw new ParameterException("--log must be text or json");
         }
-        System.setProperty("logback.configurationFile", "logback-" + format + ".xml");
+        form = format;
+    }
+
+    static boolean structured() {
+        return form.equals(STRUCTURED);
     }
 }
--- a/node/src/main/java/org/heatherhaven/node/platform/HttpPlatform.java
+++ b/node/src/main/java/org/heatherhaven/node/platform/HttpPlatform.java
@@ -50,7 +50,7 @@
         this.baseUrl = baseUrl;
         this.timeout = timeout;
         this.counter = counter;
-        this.client = Dsl.asyncHttpClient(new DefaultAsyncHttpClientConfig.Builder()
+        this.client = Dsl.asyncHttpClient(PlainHttp.unlessSecure(new DefaultAsyncHttpClientConfig.Builder(), baseUrl)
                 .setEventLoopGroup(group)
                 .setConnectTimeout(timeout)
                 .setMaxConnections(MAX_CONNECTIONS)
--- /dev/null
+++ b/node/src/main/java/org/heatherhaven/node/platform/PlainHttp.java
@@ -0,0 +1,32 @@
+package org.heatherhaven.node.platform;
+
+import javax.net.ssl.SSLEngine;
+
+import org.asynchttpclient.AsyncHttpClientConfig;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.SslEngineFactory;
+
+/** Keeps the HTTP client from loading the trust store at its start where the platform is spoken to without TLS. */
+public final class PlainHttp implements SslEngineFactory {
+
+    private static final String SECURE_SCHEME = "https:";
+
+    private PlainHttp() {}
+
+    /**
+     * Leaves TLS out of a client's settings if the platform's address does not ask for it.
+     *
+     * @param builder settings of the client
+     * @param platformUrl address of the platform
+     * @return the same settings
+     */
+    public static DefaultAsyncHttpClientConfig.Builder unlessSecure(
+            DefaultAsyncHttpClientConfig.Builder builder, String platformUrl) {
+        return platformUrl.startsWith(SECURE_SCHEME) ? builder : builder.setSslEngineFactory(new PlainHttp());
+    }
+
+    @Override
+    public SSLEngine newSslEngine(AsyncHttpClientConfig config, String peerHost, int peerPort) {
+        throw new UnsupportedOperationException("no TLS was set up for the platform: " + peerHost);
+    }
+}
