A whole small answer travels in one frame and leaves in one write

Cause: an answer of up to 64 KiB is held until it is whole, and then left in three frames, which the entry node turned into three tasks and three writes. Change: REPLY carries head, signal and body; an offer no longer repeats the id of a root request. Test: a reply comes out with its body, one with a wrong length is an error.

--- a/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
@@ -5,16 +5,19 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.event.TrafficEvent.AttemptEnded;
 import org.heatherhaven.core.event.TrafficEvent.AttemptLost;
@@ -212,6 +215,11 @@
             onCaller(() -> answerEnded(answerEnd), () -> {});
         }
 
+        @Override
+        public void replied(AnswerHead answer, ByteBuf data, Signal signal) {
+            onCaller(() -> writeWhole(answer, data, signal), data::release);
+        }
+
         @Override
         public void refused(RefusedHead refused) {
             onCaller(() -> attemptRefused(refused), () -> {});
@@ -227,6 +235,23 @@
         answering = true;
         HttpResponse response =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()));
+        fillHead(response, answer);
+        channel.write(response);
+        flushSoon();
+    }
+
+    private void writeWhole(AnswerHead answer, ByteBuf data, Signal signal) {
+        answering = true;
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), data);
+        fillHead(response, answer);
+        calls.leave(number);
+        end();
+        calls.post(new AttemptEnded(number, attempt, true, signal));
+        writeLast(response);
+    }
+
+    private void fillHead(HttpResponse response, AnswerHead answer) {
         for (Header header : answer.headers()) {
             response.headers().add(header.name(), header.value());
         }
@@ -241,8 +266,6 @@
         if (closing) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        channel.write(response);
-        flushSoon();
     }
 
     private boolean reusable() {
@@ -286,12 +309,15 @@
             channel.close();
             return;
         }
-        boolean reusable = !closing;
-        var written = channel.writeAndFlush(new DefaultLastHttpContent());
-        if (!reusable) {
+        writeLast(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    private void writeLast(LastHttpContent last) {
+        ChannelFuture written = channel.writeAndFlush(last);
+        if (closing) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
-        finished.accept(this, reusable);
+        finished.accept(this, !closing);
     }
 
     private void attemptRefused(RefusedHead refused) {
--- a/node/src/main/java/org/heatherhaven/node/peer/AcceptedLink.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/AcceptedLink.java
@@ -80,6 +80,7 @@
             case CREDIT -> call.credit((Integer) frame.body());
             case CANCEL -> call.cancelled();
             default -> {
+                frame.data().release();
                 door.misbehaved();
                 ctx.close();
             }
--- a/node/src/main/java/org/heatherhaven/node/peer/AttemptListener.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/AttemptListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import org.heatherhaven.core.model.Outcome;
+import org.heatherhaven.core.model.Signal;
 import org.heatherhaven.node.wire.AnswerEnd;
 import org.heatherhaven.node.wire.AnswerHead;
 import org.heatherhaven.node.wire.RefusedHead;
@@ -30,6 +31,15 @@
      */
     void ended(AnswerEnd end);
 
+    /**
+     * The target answered, and its answer came whole.
+     *
+     * @param head head of the answer
+     * @param data its body, owned by the listener
+     * @param signal news of the target's node
+     */
+    void replied(AnswerHead head, ByteBuf data, Signal signal);
+
     /**
      * The target's node refused the call.
      *
--- a/node/src/main/java/org/heatherhaven/node/peer/PeerLink.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/PeerLink.java
@@ -29,6 +29,7 @@
 import org.heatherhaven.node.wire.FrameType;
 import org.heatherhaven.node.wire.OfferHead;
 import org.heatherhaven.node.wire.RefusedHead;
+import org.heatherhaven.node.wire.ReplyHead;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -168,6 +169,11 @@
                 streams.remove(frame.stream());
                 listener.ended((AnswerEnd) frame.body());
             }
+            case REPLY -> {
+                streams.remove(frame.stream());
+                ReplyHead reply = (ReplyHead) frame.body();
+                listener.replied(reply.answer(), frame.data(), reply.signal());
+            }
             case REFUSED -> {
                 streams.remove(frame.stream());
                 listener.refused((RefusedHead) frame.body());
--- a/node/src/main/java/org/heatherhaven/node/target/GuardedCall.java
+++ b/node/src/main/java/org/heatherhaven/node/target/GuardedCall.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import org.heatherhaven.core.effect.Effect;
@@ -25,6 +26,7 @@
 import org.heatherhaven.node.wire.FrameType;
 import org.heatherhaven.node.wire.OfferHead;
 import org.heatherhaven.node.wire.RefusedHead;
+import org.heatherhaven.node.wire.ReplyHead;
 
 /** A call between a peer's connection and the target. Its fields belong to the connection's event loop. */
 final class GuardedCall implements OfferedCall {
@@ -142,9 +144,11 @@
     }
 
     private void finishAnswer(AnswerEnd last) {
-        if (last.whole()) {
-            releaseHeld();
-        } else {
+        if (last.whole() && heldHead.isPresent()) {
+            reply(heldHead.get(), last.signal());
+            return;
+        }
+        if (!last.whole()) {
             heldHead = Optional.empty();
             unsent.forEach(ByteBuf::release);
             unsent.clear();
@@ -153,6 +157,15 @@
         flush();
     }
 
+    /** An answer that was held back whole leaves in one frame. */
+    private void reply(AnswerHead answer, Signal signal) {
+        heldHead = Optional.empty();
+        answered = true;
+        ByteBuf body = Unpooled.wrappedBuffer(unsent.toArray(ByteBuf[]::new));
+        unsent.clear();
+        close(Frame.reply(key.stream(), new ReplyHead(answer, signal), body));
+    }
+
     private void releaseHeld() {
         heldHead.ifPresent(answer -> {
             heldHead = Optional.empty();
--- a/node/src/main/java/org/heatherhaven/node/wire/CallCodec.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/CallCodec.java
@@ -33,6 +33,10 @@
 final class CallCodec {
 
     private static final int MAX_HEADERS = 1_000;
+
+    /** Stands for the id of a root request, which is that of the request itself. */
+    private static final String OWN_ROOT = "";
+
     private static final Importance[] IMPORTANCES = Importance.values();
     private static final Reason[] REASONS = Reason.values();
     private static final Outcome[] OUTCOMES = Outcome.values();
@@ -48,7 +52,7 @@
 
     static boolean handles(FrameType type) {
         return switch (type) {
-            case OFFER, ANSWER, REFUSED, END, LOAN_ASK, LOAN_GRANT -> true;
+            case OFFER, ANSWER, REPLY, REFUSED, END, LOAN_ASK, LOAN_GRANT -> true;
             default -> false;
         };
     }
@@ -59,6 +63,10 @@
         switch (type) {
             case OFFER -> offer((OfferHead) body, packer);
             case ANSWER -> answer((AnswerHead) body, packer);
+            case REPLY -> {
+                answer(((ReplyHead) body).answer(), packer);
+                signal(((ReplyHead) body).signal(), packer);
+            }
             case REFUSED -> refused((RefusedHead) body, packer);
             case END -> end((AnswerEnd) body, packer);
             case LOAN_ASK -> loanAsk((LoanAsk) body, packer);
@@ -72,7 +80,8 @@
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(ByteBufUtil.getBytes(in))) {
             return switch (type) {
                 case OFFER -> offer(unpacker);
-                case ANSWER -> new AnswerHead(unpacker.unpackInt(), headers(unpacker));
+                case ANSWER -> answer(unpacker);
+                case REPLY -> new ReplyHead(answer(unpacker), signal(unpacker));
                 case REFUSED -> new RefusedHead(refusal(unpacker), signal(unpacker));
                 case END -> new AnswerEnd(unpacker.unpackBoolean(), signal(unpacker));
                 case LOAN_ASK -> loanAsk(unpacker);
@@ -85,7 +94,7 @@
     private static void offer(OfferHead offer, MessageBufferPacker packer) throws IOException {
         CallHead call = offer.call();
         packer.packString(call.requestId());
-        packer.packString(call.rootId());
+        packer.packString(call.rootId().equals(call.requestId()) ? OWN_ROOT : call.rootId());
         packer.packString(call.host());
         packer.packString(call.method());
         packer.packString(call.path());
@@ -107,9 +116,11 @@
     }
 
     private static OfferHead offer(MessageUnpacker unpacker) throws IOException {
+        String requestId = unpacker.unpackString();
+        String rootId = unpacker.unpackString();
         CallHead call = new CallHead(
-                unpacker.unpackString(),
-                unpacker.unpackString(),
+                requestId,
+                rootId.equals(OWN_ROOT) ? requestId : rootId,
                 unpacker.unpackString(),
                 unpacker.unpackString(),
                 unpacker.unpackString(),
@@ -163,6 +174,10 @@
         headers(answer.headers(), packer);
     }
 
+    private static AnswerHead answer(MessageUnpacker unpacker) throws IOException {
+        return new AnswerHead(unpacker.unpackInt(), headers(unpacker));
+    }
+
     private static void refused(RefusedHead refused, MessageBufferPacker packer) throws IOException {
         Refusal refusal = refused.refusal();
         packer.packInt(refusal.reason().ordinal());
--- a/node/src/main/java/org/heatherhaven/node/wire/Frame.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/Frame.java
@@ -9,7 +9,7 @@
  * @param type type of the frame
  * @param stream number of the call, 0 for control messages
  * @param body decoded payload, or nothing
- * @param data raw payload of chunks; released by whoever consumes the frame
+ * @param data raw bytes of a body, in chunks and replies; released by whoever consumes the frame
  */
 public record Frame(FrameType type, long stream, Object body, ByteBuf data) {
 
@@ -46,4 +46,16 @@
     public static Frame chunk(long stream, ByteBuf data) {
         return new Frame(FrameType.CHUNK, stream, "", data);
     }
+
+    /**
+     * A whole answer.
+     *
+     * @param stream number of the call
+     * @param head what stands before the body
+     * @param data the body, owned by the frame
+     * @return the frame
+     */
+    public static Frame reply(long stream, ReplyHead head, ByteBuf data) {
+        return new Frame(FrameType.REPLY, stream, head, data);
+    }
 }
--- a/node/src/main/java/org/heatherhaven/node/wire/FrameCodec.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/FrameCodec.java
@@ -12,6 +12,9 @@
     private static final int LENGTH_BYTES = Integer.BYTES;
     private static final int HEAD_BYTES = 1 + Long.BYTES;
 
+    /** A reply is followed by a body, so that the length of what stands before it must be told. */
+    private static final int REPLY_LENGTH_BYTES = Integer.BYTES;
+
     private final int maxFrameBytes;
 
     /**
@@ -33,12 +36,32 @@
         if (frame.type() == FrameType.CHUNK) {
             out.writeBytes(frame.data());
             frame.data().release();
+        } else if (frame.type() == FrameType.REPLY) {
+            encodeReply(frame, out);
         } else {
             WireCodec.write(frame.type(), frame.body(), out);
         }
         out.setInt(start, out.writerIndex() - start - LENGTH_BYTES);
     }
 
+    private static void encodeReply(Frame frame, ByteBuf out) {
+        int start = out.writerIndex();
+        out.writeInt(0);
+        WireCodec.write(frame.type(), frame.body(), out);
+        out.setInt(start, out.writerIndex() - start - REPLY_LENGTH_BYTES);
+        out.writeBytes(frame.data());
+        frame.data().release();
+    }
+
+    private static Frame decodeReply(long stream, ByteBuf payload) {
+        int headBytes = payload.readableBytes() < REPLY_LENGTH_BYTES ? -1 : payload.readInt();
+        if (headBytes < 0 || headBytes > payload.readableBytes()) {
+            throw new WireException(WireException.Code.BAD_PAYLOAD, "a reply with a head of " + headBytes + " bytes");
+        }
+        ReplyHead head = (ReplyHead) WireCodec.read(FrameType.REPLY, payload.readSlice(headBytes));
+        return Frame.reply(stream, head, payload.readRetainedSlice(payload.readableBytes()));
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (in.readableBytes() < LENGTH_BYTES) {
@@ -62,6 +85,10 @@
             return;
         }
         try {
+            if (type == FrameType.REPLY) {
+                out.add(decodeReply(stream, payload));
+                return;
+            }
             out.add(Frame.of(type, stream, WireCodec.read(type, payload)));
         } finally {
             payload.release();
--- a/node/src/main/java/org/heatherhaven/node/wire/FrameType.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/FrameType.java
@@ -32,6 +32,7 @@
     CREDIT(16, Integer.class),
     CANCEL(17, null),
     KEEPALIVE(18, null),
+    REPLY(19, ReplyHead.class),
     PROBE(32, Probe.class),
     PROBE_ACK(33, ProbeAck.class),
     PROBE_REQUEST(34, ProbeRequest.class),
--- a/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
+++ b/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
@@ -1,5 +1,6 @@
 package org.heatherhaven.node.wire;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -28,6 +29,7 @@
 import org.heatherhaven.core.model.PolicyVersion;
 import org.heatherhaven.core.model.RightId;
 import org.heatherhaven.core.model.Route;
+import org.heatherhaven.core.model.Signal;
 import org.heatherhaven.core.model.Team;
 import org.heatherhaven.core.model.Zone;
 
@@ -114,6 +116,37 @@
         expect(new OfferHead(head, true), roundTrip(FrameType.OFFER, new OfferHead(head, true)));
     }
 
+    @Example
+    void aReplyComesOutWithItsBody() {
+        EmbeddedChannel out = new EmbeddedChannel(new FrameCodec(MAX_FRAME));
+        EmbeddedChannel in = new EmbeddedChannel(new FrameCodec(MAX_FRAME));
+        ReplyHead head = new ReplyHead(new AnswerHead(200, List.of(new Header("a", "b"))), new Signal(64, 700, 12, 1));
+        ByteBuf body = Unpooled.copiedBuffer("the whole answer", StandardCharsets.US_ASCII);
+        out.writeOutbound(Frame.reply(5, head, body));
+        in.writeInbound((ByteBuf) out.readOutbound());
+        Frame frame = in.readInbound();
+        expect(head, frame.body());
+        expect("the whole answer", frame.data().toString(StandardCharsets.US_ASCII));
+        frame.data().release();
+        expect(0, body.refCnt());
+    }
+
+    @Example
+    void aReplyWhoseHeadIsLongerThanItsFrameIsAnError() {
+        EmbeddedChannel in = new EmbeddedChannel(new FrameCodec(MAX_FRAME));
+        ByteBuf frame = Unpooled.buffer();
+        frame.writeInt(9 + Integer.BYTES)
+                .writeByte(FrameType.REPLY.code())
+                .writeLong(1)
+                .writeInt(1_000);
+        try {
+            in.writeInbound(frame);
+            throw new AssertionError("accepted");
+        } catch (DecoderException e) {
+            requireWireException(e);
+        }
+    }
+
     @Property(tries = 2_000, seed = "20261204")
     void garbageIsAnErrorOrNothing(@ForAll @Size(max = 300) byte[] garbage) {
         EmbeddedChannel in = new EmbeddedChannel(new FrameCodec(MAX_FRAME));
