--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
@@ -293,7 +293,7 @@
         // Only this target can send it back, and only for a request that it works on: unique is enough.
         String context = Long.toString(call.key().link(), Character.MAX_RADIX) + "-"
                 + Long.toString(call.key().stream(), Character.MAX_RADIX) + "-"
-                + Long.toUnsignedString(Hashes.of(call.head().requestId() + now), Character.MAX_RADIX);
+                + Long.toUnsignedString(Hashes.of(call.head().requestId() + now.toEpochMilli()), Character.MAX_RADIX);
         Running running = new Running(call, context, now, call.head().retries(), Signal.COHORTS, 0);
         TargetRef target = state.target().ref().orElseThrow();
         out.add(new Effect.RunOffer(call.key(), target, context, Duration.between(now, call.deadline())));
--- a/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
@@ -75,24 +75,30 @@
         }
         List<Member> healthy = withoutAvoided(state, able, now);
         Zone home = fleet.self().zone();
-        List<Member> region = healthy.stream()
-                .filter(member -> member.zone().region().equals(home.region()))
-                .toList();
+        List<Member> region = new ArrayList<>(healthy.size());
+        List<Member> zone = new ArrayList<>();
+        for (Member member : healthy) {
+            if (member.zone().region().equals(home.region())) {
+                region.add(member);
+            }
+            if (member.zone().equals(home)) {
+                zone.add(member);
+            }
+        }
         if (region.isEmpty()) {
-            return Optional.of(better(state, home, healthy, random, now).id());
+            return Optional.of(better(state, home, healthy, zone, random, now).id());
         }
-        List<Member> zone =
-                region.stream().filter(member -> member.zone().equals(home)).toList();
         if (!zone.isEmpty()) {
-            Member local = better(state, home, zone, random, now);
-            Member other = better(state, home, region, random, now);
+            Member local = better(state, home, zone, zone, random, now);
+            Member other = better(state, home, region, zone, random, now);
             boolean worthTheWay =
                     loadOf(state, local, now) >= ZONE_SPILL_LOAD && loadOf(state, other, now) < ZONE_SPILL_LOAD;
             return Optional.of(worthTheWay ? other.id() : local.id());
         }
-        Member near = better(state, home, region, random, now);
+        Member near = better(state, home, region, zone, random, now);
         boolean full = state.of(near.id(), now).load() > SPILL_LOAD;
-        return Optional.of(full ? better(state, home, healthy, random, now).id() : near.id());
+        return Optional.of(
+                full ? better(state, home, healthy, zone, random, now).id() : near.id());
     }
 
     /**
@@ -129,17 +135,23 @@
     }
 
     private static List<Member> withoutAvoided(RoutingState state, List<Member> able, Instant now) {
-        List<Member> healthy = able.stream()
-                .filter(member -> !now.isBefore(state.of(member.id(), now).avoidUntil()))
-                .toList();
+        List<Member> healthy = new ArrayList<>(able.size());
+        for (Member member : able) {
+            if (!now.isBefore(state.of(member.id(), now).avoidUntil())) {
+                healthy.add(member);
+            }
+        }
         int avoided = able.size() - healthy.size();
         return avoided * AVOIDED_SHARE > able.size() || healthy.isEmpty() ? able : healthy;
     }
 
     private static Member better(
-            RoutingState state, Zone home, List<Member> members, SplittableRandom random, Instant now) {
-        List<Member> local =
-                members.stream().filter(member -> member.zone().equals(home)).toList();
+            RoutingState state,
+            Zone home,
+            List<Member> members,
+            List<Member> local,
+            SplittableRandom random,
+            Instant now) {
         List<Member> firstPool = local.isEmpty() ? members : local;
         Member first = firstPool.get(random.nextInt(firstPool.size()));
         Member second = members.get(random.nextInt(members.size()));
--- a/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
+++ b/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
@@ -194,9 +194,6 @@
                 self.zone(),
                 settings.callers());
         integration.started(this);
-        if (settings.rehearses()) {
-            Rehearsal.run(integration.dialect(), clock.instant());
-        }
     }
 
     private void announce() {
--- a/node/src/main/java/org/heatherhaven/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettings.java
@@ -29,7 +29,6 @@
  * @param mailboxCapacity events that may wait for the control thread
  * @param threads traffic threads
  * @param sharedThreads true if control runs on the traffic threads, for machines that run one thread at a time
- * @param rehearses true if the code of calls is warmed up before they come
  * @param coalescing how long a busy traffic thread rests before it looks for what has arrived; zero for not at all
  * @param tls files of TLS, if configured
  * @param rules settings of the decisions
@@ -50,7 +49,6 @@
         int mailboxCapacity,
         int threads,
         boolean sharedThreads,
-        boolean rehearses,
         Duration coalescing,
         Optional<TlsFiles> tls,
         NodeRules rules) {
--- a/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
@@ -88,7 +88,6 @@
         int mailbox = (int) limits.number("waiting_events", 1, MAX_COUNT, Optional.of(DEFAULT_MAILBOX));
         int threads = (int) limits.number("traffic_threads", 1, MAX_THREADS, Optional.of(DEFAULT_THREADS));
         boolean shared = limits.flag("shared_threads", false);
-        boolean rehearses = limits.flag("rehearsal", false);
         Duration coalescing = Duration.ofNanos(
                 NANOS_PER_MICRO * limits.number("coalescing_us", 0, MAX_COALESCING_US, Optional.of(0L)));
         NodeRules rules = rules(root).withHomeService(target.service());
@@ -110,7 +109,6 @@
                 mailbox,
                 threads,
                 shared,
-                rehearses,
                 coalescing,
                 tls,
                 rules);
--- a/node/src/main/java/org/heatherhaven/node/wire/CallCodec.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/CallCodec.java
@@ -24,6 +24,7 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
+import org.msgpack.core.buffer.ArrayBufferInput;
 
 /**
  * Payloads that travel with every call, packed field by field.
@@ -48,6 +49,14 @@
         }
     };
 
+    /** Kept, because a new one sets up a decoder of texts of its own. */
+    private static final FastThreadLocal<MessageUnpacker> UNPACKERS = new FastThreadLocal<>() {
+        @Override
+        protected MessageUnpacker initialValue() {
+            return MessagePack.newDefaultUnpacker(new byte[0]);
+        }
+    };
+
     private CallCodec() {}
 
     static boolean handles(FrameType type) {
@@ -77,18 +86,18 @@
     }
 
     static Object read(FrameType type, ByteBuf in) throws IOException {
-        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(ByteBufUtil.getBytes(in))) {
-            return switch (type) {
-                case OFFER -> offer(unpacker);
-                case ANSWER -> answer(unpacker);
-                case REPLY -> new ReplyHead(answer(unpacker), signal(unpacker));
-                case REFUSED -> new RefusedHead(refusal(unpacker), signal(unpacker));
-                case END -> new AnswerEnd(unpacker.unpackBoolean(), signal(unpacker));
-                case LOAN_ASK -> loanAsk(unpacker);
-                case LOAN_GRANT -> loanGrant(unpacker);
-                default -> throw new IllegalArgumentException("type " + type);
-            };
-        }
+        MessageUnpacker unpacker = UNPACKERS.get();
+        unpacker.reset(new ArrayBufferInput(ByteBufUtil.getBytes(in)));
+        return switch (type) {
+            case OFFER -> offer(unpacker);
+            case ANSWER -> answer(unpacker);
+            case REPLY -> new ReplyHead(answer(unpacker), signal(unpacker));
+            case REFUSED -> new RefusedHead(refusal(unpacker), signal(unpacker));
+            case END -> new AnswerEnd(unpacker.unpackBoolean(), signal(unpacker));
+            case LOAN_ASK -> loanAsk(unpacker);
+            case LOAN_GRANT -> loanGrant(unpacker);
+            default -> throw new IllegalArgumentException("type " + type);
+        };
     }
 
     private static void offer(OfferHead offer, MessageBufferPacker packer) throws IOException {
--- a/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
@@ -132,7 +132,6 @@
                 MAILBOX,
                 1,
                 false,
-                false,
                 Duration.ZERO,
                 Optional.empty(),
                 rules);
