Tables of members are compared by digest; owners of a rate are asked one at a time

Each call that came while the near owner was being asked sent a question to the next one, so that far owners were asked more often (10,362) than near ones (9,290). Change: the next owner is asked after 30 ms or when one has no tokens; a table is sent only to a node whose digest differs.

--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
@@ -47,6 +47,7 @@
     private static final int RELAYS = 2;
     private static final int MAX_NEWS_PER_MESSAGE = 8;
     private static final int PAGE_MEMBERS = 256;
+    private static final long NO_DIGEST = 0;
 
     private MembershipLogic() {}
 
@@ -181,7 +182,17 @@
         boolean onePage = others.size() < PAGE_MEMBERS;
         String after =
                 onePage ? "" : others.get(random.nextInt(others.size())).id().value();
-        out.add(new Effect.Send(peer, new MembersPull(state.self(), after, false)));
+        long digest = onePage ? digest(state) : NO_DIGEST;
+        out.add(new Effect.Send(peer, new MembersPull(state.self(), after, false, digest)));
+    }
+
+    /** Equal for equal tables, whatever their order; a suspicion is news and changes it. */
+    private static long digest(MembershipState state) {
+        long sum = 0;
+        for (Member member : state.members().values()) {
+            sum += Hashes.of(member.id() + "|" + member.epoch() + "|" + member.refutation() + "|" + member.status());
+        }
+        return sum == NO_DIGEST ? 1 : sum;
     }
 
     /** Often in a small fleet and soon after the start; in a large fleet a page a minute is what there is room for. */
@@ -213,7 +224,8 @@
                 .filter(member -> !member.id().equals(state.self().id()))
                 .toList();
         Rings.rendezvous("join|" + state.self().id(), others, Rings.RINGS)
-                .forEach(seed -> out.add(new Effect.Send(seed.id(), new MembersPull(state.self(), "", true))));
+                .forEach(seed ->
+                        out.add(new Effect.Send(seed.id(), new MembersPull(state.self(), "", true, NO_DIGEST))));
         // The list is no word of a peer: it vouches for nothing that a peer would know.
         return next;
     }
@@ -229,6 +241,9 @@
      */
     public static MembershipState answerPull(MembershipState state, MembersPull pull, Instant now, Outbox out) {
         MembershipState next = learn(state, pull.from(), now);
+        if (pull.digest() != NO_DIGEST && pull.digest() == digest(next)) {
+            return next;
+        }
         List<Member> page = new ArrayList<>();
         boolean more = false;
         for (Member member :
@@ -259,7 +274,7 @@
         }
         if (page.more() && !page.members().isEmpty()) {
             String last = page.members().get(page.members().size() - 1).id().value();
-            out.add(new Effect.Send(page.from(), new MembersPull(next.self(), last, true)));
+            out.add(new Effect.Send(page.from(), new MembersPull(next.self(), last, true, NO_DIGEST)));
         }
         return next;
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
@@ -25,6 +25,9 @@
 
     private static final Duration LOOK_INTERVAL = Duration.ofMillis(50);
     private static final Duration ASK_LIMIT = Duration.ofMillis(400);
+    /** The next owner is asked only when the first is slow, so that a near one is not passed over for a far one. */
+    private static final Duration HEDGE_AFTER = Duration.ofMillis(30);
+
     private static final Duration IDLE_LIMIT = Duration.ofSeconds(30);
     private static final Duration REDIRECT_PAUSE = Duration.ofMillis(10);
     private static final Duration LOST_PAUSE = Duration.ofMillis(50);
@@ -90,7 +93,7 @@
         double ahead = Math.min(
                 wallet.pace() * LOOKS_AHEAD, context.owners().divided(team).shareBurst() / 2);
         int want = wallet.waiters().size() + (int) ahead - wallet.tokens(now);
-        if (want <= 0) {
+        if (want <= 0 || answerIsDue(wallet, now)) {
             return state;
         }
         Optional<RightId> share = nextShare(wallet, team, context);
@@ -109,6 +112,11 @@
         return state.withWallet(team.name(), asked).withNextSeq(seq + 1);
     }
 
+    private static boolean answerIsDue(Wallet wallet, Instant now) {
+        return wallet.asks().values().stream()
+                .anyMatch(ask -> ask.seq() > 0 && now.isBefore(ask.askedAt().plus(HEDGE_AFTER)));
+    }
+
     private static Optional<RightId> nextShare(Wallet wallet, Team team, Context context) {
         return context.owners().shares(team).stream()
                 .filter(share -> !wallet.asks().containsKey(share))
--- /dev/null
+++ b/core/src/test/java/org/heatherhaven/core/logic/quota/BorrowingTest.java
@@ -0,0 +1,101 @@
+package org.heatherhaven.core.logic.quota;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import net.jqwik.api.Example;
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.effect.Outbox;
+import org.heatherhaven.core.message.LoanGrant;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Owner;
+import org.heatherhaven.core.model.RightId;
+import org.heatherhaven.core.model.Team;
+import org.pcollections.HashTreePMap;
+
+/** Calls that come while the near owner of a share is being asked do not send a question to each of the others. */
+class BorrowingTest {
+
+    private static final Instant START = Instant.ofEpochSecond(1_000);
+    private static final Team TEAM = new Team("banquets", 300, 90, 3);
+    private static final RightId NEAR = new RightId(RightId.Kind.SHARE, "banquets", 1);
+    private static final RightId FAR = new RightId(RightId.Kind.SHARE, "banquets", 2);
+    private static final Map<RightId, NodeId> OWNERS =
+            Map.of(NEAR, new NodeId("10.0.0.1:7000"), FAR, new NodeId("10.1.0.1:7000"));
+
+    private final Outbox out = new Outbox();
+    private QuotaState state = QuotaState.start(START);
+
+    /** Two owners, the near one first. */
+    private record TwoOwners() implements ShareOwners {
+
+        @Override
+        public Owner self() {
+            return new Owner(new NodeId("10.0.0.9:7000"), 1);
+        }
+
+        @Override
+        public List<RightId> shares(Team team) {
+            return List.of(NEAR, FAR);
+        }
+
+        @Override
+        public Team divided(Team team) {
+            return team;
+        }
+
+        @Override
+        public Optional<NodeId> ownerOf(RightId share) {
+            return Optional.of(OWNERS.get(share));
+        }
+
+        @Override
+        public Optional<Leave> leave(RightId share, Instant now) {
+            return Optional.empty();
+        }
+    }
+
+    private void call(long number, int millis) {
+        state = Borrowing.arrived(state, number, TEAM, at(millis), out);
+    }
+
+    private static Borrowing.Context at(int millis) {
+        return new Borrowing.Context(new TwoOwners(), START.plusMillis(millis));
+    }
+
+    private List<NodeId> asked() {
+        return out.effects().stream().map(effect -> ((Effect.Send) effect).to()).toList();
+    }
+
+    private static void expect(Object expected, Object actual) {
+        if (!expected.equals(actual)) {
+            throw new AssertionError("expected " + expected + ", got " + actual);
+        }
+    }
+
+    @Example
+    void callsThatComeWhileTheNearOwnerAnswersAskNoOther() {
+        for (int call = 1; call <= 8; call++) {
+            call(call, call);
+        }
+        expect(List.of(OWNERS.get(NEAR)), asked());
+    }
+
+    @Example
+    void aSilentOwnerIsPassedOverBeforeTheCallsGiveUp() {
+        call(1, 0);
+        state = Borrowing.tick(state, HashTreePMap.singleton(TEAM.name(), TEAM), at(100), out);
+        expect(List.of(OWNERS.get(NEAR), OWNERS.get(FAR)), asked());
+    }
+
+    @Example
+    void anOwnerWithoutTokensIsFollowedByTheNextAtOnce() {
+        call(1, 0);
+        LoanGrant none = new LoanGrant(NEAR, 1, 0, 0, Duration.ofMillis(50).toMillis(), true, Optional.empty());
+        state = Borrowing.granted(state, none, TEAM, at(3), out);
+        expect(List.of(OWNERS.get(NEAR), OWNERS.get(FAR)), asked());
+    }
+}
