Calls leave a zone whose target is much fuller than one elsewhere

Calls left their zone only for a target below 0.9 of its limit, and one of the two candidates was often the local one again; under a surge all targets are beyond that, so that the zone with the longest queue refused its deposits while others served browsing. Ruled out: unequal rates of teams (429 are counted apart).

--- a/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/routing/RoutingLogic.java
@@ -28,11 +28,14 @@
     /** Load, in thousandths of its limit, beyond which a region's calls spill over to other regions. */
     private static final int SPILL_LOAD = 1_500;
 
+    /** Load, in thousandths of its limit, beyond which a zone's calls spill over to targets of other zones below it. */
+    private static final int ZONE_SPILL_LOAD = 900;
+
     /**
-     * Load, in thousandths of its limit, beyond which a zone's calls spill over to targets of other zones that are below
-     * it. Where all are full, the way would bring nothing.
+     * Where all targets are beyond that load, a zone's calls leave for a target whose load is smaller by this. Else the
+     * zone with the most callers or the slowest target would refuse what is important while others serve what is not.
      */
-    private static final int ZONE_SPILL_LOAD = 900;
+    private static final int ZONE_SPILL_MARGIN = 600;
 
     /** Without newer word a target is held for no more than half full, so that it is tried again. */
     private static final Duration LOAD_LIFE = Duration.ofMillis(300);
@@ -77,12 +80,11 @@
         Zone home = fleet.self().zone();
         List<Member> region = new ArrayList<>(healthy.size());
         List<Member> zone = new ArrayList<>();
+        List<Member> otherZones = new ArrayList<>();
         for (Member member : healthy) {
             if (member.zone().region().equals(home.region())) {
                 region.add(member);
-            }
-            if (member.zone().equals(home)) {
-                zone.add(member);
+                (member.zone().equals(home) ? zone : otherZones).add(member);
             }
         }
         if (region.isEmpty()) {
@@ -90,10 +92,11 @@
         }
         if (!zone.isEmpty()) {
             Member local = better(state, home, zone, zone, random, now);
-            Member other = better(state, home, region, zone, random, now);
-            boolean worthTheWay =
-                    loadOf(state, local, now) >= ZONE_SPILL_LOAD && loadOf(state, other, now) < ZONE_SPILL_LOAD;
-            return Optional.of(worthTheWay ? other.id() : local.id());
+            if (otherZones.isEmpty() || loadOf(state, local, now) < ZONE_SPILL_LOAD) {
+                return Optional.of(local.id());
+            }
+            Member other = better(state, home, otherZones, List.of(), random, now);
+            return Optional.of(worthTheWay(state, local, other, now) ? other.id() : local.id());
         }
         Member near = better(state, home, region, zone, random, now);
         boolean full = state.of(near.id(), now).load() > SPILL_LOAD;
@@ -101,6 +104,11 @@
                 full ? better(state, home, healthy, zone, random, now).id() : near.id());
     }
 
+    private static boolean worthTheWay(RoutingState state, Member local, Member other, Instant now) {
+        int load = loadOf(state, other, now);
+        return load < ZONE_SPILL_LOAD || load + ZONE_SPILL_MARGIN < loadOf(state, local, now);
+    }
+
     /**
      * Tells whether a target that was not tried has room, as far as is known here.
      *
