--- a/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
@@ -29,6 +29,7 @@
 import org.heatherhaven.core.model.Reason;
 import org.heatherhaven.core.model.Refusal;
 import org.heatherhaven.core.model.Signal;
+import org.heatherhaven.node.EventLoops;
 import org.heatherhaven.node.peer.AttemptListener;
 import org.heatherhaven.node.peer.AttemptStream;
 import org.heatherhaven.node.wire.AnswerEnd;
@@ -119,7 +120,7 @@
 
     /** Sends the call to a target's node; called by the control thread. */
     void forward(Effect.ForwardCall effect) {
-        channel.eventLoop().execute(() -> {
+        EventLoops.run(channel.eventLoop(), () -> {
             if (over) {
                 return;
             }
@@ -133,7 +134,7 @@
 
     /** Cancels an attempt; called by the control thread. */
     void cancel(Effect.CancelAttempt effect) {
-        channel.eventLoop().execute(() -> {
+        EventLoops.run(channel.eventLoop(), () -> {
             if (attempt == effect.attempt() && stream != null) {
                 stream.cancel();
             }
@@ -143,7 +144,7 @@
         });
     }
 
-    /** Answers with a refusal; called by the control thread. */
+    /** Answers with a refusal, once the rest of a request that came with its head has been read. */
     void refuse(Effect.RefuseCall effect) {
         channel.eventLoop().execute(() -> {
             calls.leave(number);
@@ -186,7 +187,7 @@
         }
 
         private void onCaller(Runnable action, Runnable otherwise) {
-            channel.eventLoop().execute(() -> {
+            EventLoops.run(channel.eventLoop(), () -> {
                 if (attempt == mine && !over) {
                     action.run();
                 } else {
--- a/node/src/main/java/org/heatherhaven/node/peer/PeerLink.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/PeerLink.java
@@ -23,6 +23,7 @@
 import org.heatherhaven.core.message.PeerMessage;
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.Outcome;
+import org.heatherhaven.node.EventLoops;
 import org.heatherhaven.node.wire.AnswerEnd;
 import org.heatherhaven.node.wire.AnswerHead;
 import org.heatherhaven.node.wire.Frame;
@@ -88,13 +89,13 @@
     }
 
     void send(PeerMessage message) {
-        loop.execute(() -> write(Frame.of(FrameType.of(message), 0, message)));
+        EventLoops.run(loop, () -> write(Frame.of(FrameType.of(message), 0, message)));
     }
 
     /** Offers a call; its number is fixed on the event loop, so that numbers grow in the order of sending. */
     AttemptStream offer(OfferHead head, AttemptListener listener) {
         LinkStream stream = new LinkStream(this);
-        loop.execute(() -> {
+        EventLoops.run(loop, () -> {
             if (over || pending.size() >= MAX_PENDING) {
                 listener.lost(Outcome.NOT_RUN);
                 return;
@@ -221,22 +222,22 @@
 
         @Override
         public void sendChunk(ByteBuf data) {
-            link.loop.execute(() -> writeIfOffered(Frame.chunk(number, data)));
+            EventLoops.run(link.loop, () -> writeIfOffered(Frame.chunk(number, data)));
         }
 
         @Override
         public void endBody() {
-            link.loop.execute(() -> writeIfOffered(Frame.bare(FrameType.BODY_END, number)));
+            EventLoops.run(link.loop, () -> writeIfOffered(Frame.bare(FrameType.BODY_END, number)));
         }
 
         @Override
         public void grant(int bytes) {
-            link.loop.execute(() -> writeIfOffered(Frame.of(FrameType.CREDIT, number, bytes)));
+            EventLoops.run(link.loop, () -> writeIfOffered(Frame.of(FrameType.CREDIT, number, bytes)));
         }
 
         @Override
         public void cancel() {
-            link.loop.execute(() -> {
+            EventLoops.run(link.loop, () -> {
                 writeIfOffered(Frame.bare(FrameType.CANCEL, number));
                 link.forget(number);
             });
--- a/node/src/main/java/org/heatherhaven/node/target/GuardedCall.java
+++ b/node/src/main/java/org/heatherhaven/node/target/GuardedCall.java
@@ -17,6 +17,7 @@
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
 import org.heatherhaven.core.model.Signal;
+import org.heatherhaven.node.EventLoops;
 import org.heatherhaven.node.control.Mailbox;
 import org.heatherhaven.node.peer.OfferedCall;
 import org.heatherhaven.node.peer.Windows;
@@ -61,11 +62,7 @@
     }
 
     private void onLoop(Runnable action) {
-        if (channel.eventLoop().inEventLoop()) {
-            action.run();
-        } else {
-            channel.eventLoop().execute(action);
-        }
+        EventLoops.run(channel.eventLoop(), action);
     }
 
     @Override
@@ -105,7 +102,7 @@
 
     /** Hands the call to the target; called by the control thread. */
     void run(Effect.RunOffer effect, TargetConnections connections) {
-        channel.eventLoop().execute(() -> {
+        onLoop(() -> {
             if (!channel.isActive()) {
                 // The peer is gone, and with it whoever would take the answer: nothing needs to run.
                 mailbox.put(new TrafficEvent.TargetEnded(key, TargetResult.NOT_SENT));
@@ -123,12 +120,12 @@
 
     /** Cancels the call at the target; called by the control thread. */
     void abort() {
-        channel.eventLoop().execute(() -> exchange.ifPresent(TargetExchange::abort));
+        onLoop(() -> exchange.ifPresent(TargetExchange::abort));
     }
 
     /** Refuses the call; called by the control thread. */
     void refuse(Effect.RefuseOffer effect) {
-        channel.eventLoop().execute(() -> {
+        onLoop(() -> {
             if (answered) {
                 // The head of an answer is out already, so that the answer can only break off.
                 finishAnswer(new AnswerEnd(false, effect.signal()));
@@ -140,7 +137,7 @@
 
     /** Ends the answer; called by the control thread. */
     void finish(boolean whole, Signal signal) {
-        channel.eventLoop().execute(() -> finishAnswer(new AnswerEnd(whole, signal)));
+        onLoop(() -> finishAnswer(new AnswerEnd(whole, signal)));
     }
 
     private void finishAnswer(AnswerEnd last) {
--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
@@ -16,6 +16,7 @@
 import org.heatherhaven.core.effect.Effect.RunOffer;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.TargetRef;
+import org.heatherhaven.node.EventLoops;
 import org.heatherhaven.node.http.CallDialect;
 
 /** Sends calls to the target over connections that are kept for the calls that follow. */
@@ -59,7 +60,7 @@
      */
     public TargetExchange send(CallHead head, boolean hasBody, RunOffer order, AnswerListener listener) {
         TargetExchange exchange = new TargetExchange(loop, dialect, head, hasBody, order, listener);
-        loop.execute(() -> {
+        EventLoops.run(loop, () -> {
             exchange.startTimer(order.timeout());
             connect(exchange, order.target());
         });
--- a/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
@@ -24,6 +24,7 @@
 import org.heatherhaven.core.event.TrafficEvent.TargetResult;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
+import org.heatherhaven.node.EventLoops;
 import org.heatherhaven.node.http.AnswerVerdict;
 import org.heatherhaven.node.http.CallDialect;
 import org.heatherhaven.node.http.EndToEnd;
@@ -131,11 +132,7 @@
     }
 
     private void onLoop(Runnable action) {
-        if (loop.inEventLoop()) {
-            action.run();
-        } else {
-            loop.execute(action);
-        }
+        EventLoops.run(loop, action);
     }
 
     /** The connection is open: the request goes out. */
