Every refusal that says not run tells when to come back

Cause: the users ask that a caller whose request has not run is told when to come back. Only requests shut out at the door and those beyond a rate were; one that a full queue, a missing target or an unknown policy refused came back at once, was refused again, or was spread by chance alone. Change: ReturnTime, by reason and pressure, spread; nothing for what coming back can't mend, and none where another node can take the call at once.

--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -10,6 +10,7 @@
 import org.heatherhaven.core.logic.call.CallInfo;
 import org.heatherhaven.core.logic.call.EntryCall;
 import org.heatherhaven.core.logic.pressure.PressureState.Source;
+import org.heatherhaven.core.logic.pressure.ReturnTime;
 import org.heatherhaven.core.logic.quota.Borrowing;
 import org.heatherhaven.core.logic.routing.RoutingLogic;
 import org.heatherhaven.core.model.CallHead;
@@ -161,8 +162,9 @@
         CallInfo info = call.info();
         // The last attempt may not have run, and an earlier one may: then "not run" would be a lie.
         boolean doubtful = call.mayHaveRun() && last.outcome() == Outcome.NOT_RUN;
-        Refusal refusal =
-                doubtful ? new Refusal(last.reason(), Outcome.UNKNOWN, last.retryAfter(), last.detail()) : last;
+        Refusal refusal = doubtful
+                ? new Refusal(last.reason(), Outcome.UNKNOWN, last.retryAfter(), last.detail())
+                : withReturnTime(step, last, step.routePressure.of(info.route().name(), step.now));
         Permits.report(step, call, refusal.outcome());
         step.note(
                 info.requestId(),
@@ -173,6 +175,16 @@
         finish(step, call);
     }
 
+    /** Tells callers when to come back, where the refusal has not done so. */
+    static Refusal withReturnTime(Step step, Refusal refusal, int pressure) {
+        if (refusal.outcome() != Outcome.NOT_RUN || !refusal.retryAfter().isZero()) {
+            return refusal;
+        }
+        Duration delay =
+                ReturnTime.after(refusal.reason(), pressure, step.random().nextDouble());
+        return refusal.retryAfter(delay);
+    }
+
     /** Ends a call that nobody waits for any more. */
     static void abandon(Step step, EntryCall call, Reason reason) {
         if (call.stage() == EntryCall.Stage.ANSWER) {
--- a/core/src/main/java/org/heatherhaven/core/logic/node/CallFlow.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/CallFlow.java
@@ -74,7 +74,8 @@
 
     private static void refuseUnborn(Step step, long call, String requestId, Refusal refusal) {
         step.note(requestId, "door", refusal.detail(), refusal.reason().label());
-        step.out.add(new Effect.RefuseCall(call, requestId, step.policy.policy().version(), refusal));
+        Refusal told = Attempts.withReturnTime(step, refusal, 0);
+        step.out.add(new Effect.RefuseCall(call, requestId, step.policy.policy().version(), told));
     }
 
     private static void root(Step step, CallArrived event, String requestId, Route route) {
