--- a/core/src/main/java/org/heatherhaven/core/effect/Effect.java
+++ b/core/src/main/java/org/heatherhaven/core/effect/Effect.java
@@ -166,6 +166,14 @@
      */
     record RemoveAnnouncement(Owner member) implements Effect {}
 
+    /**
+     * Measure how long something took.
+     *
+     * @param timing what took the time
+     * @param took the time
+     */
+    record Measure(Timing timing, Duration took) implements Effect {}
+
     /**
      * Note a decision, so that it can be explained.
      *
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
@@ -8,6 +8,7 @@
 
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Outbox;
+import org.heatherhaven.core.effect.Timing;
 import org.heatherhaven.core.event.OfferKey;
 import org.heatherhaven.core.event.TrafficEvent.TargetResult;
 import org.heatherhaven.core.logic.Hashes;
@@ -122,6 +123,7 @@
         if (done == null) {
             return state;
         }
+        out.add(new Effect.Measure(Timing.TARGET, Duration.between(done.startedAt(), now)));
         GuardState next = learn(remove(state, key, done), done, result, now);
         Signal signal = signalFor(next, done);
         switch (result) {
@@ -298,6 +300,7 @@
         Running running = new Running(call, context, now, call.head().retries(), Signal.COHORTS, 0);
         TargetRef target = state.target().ref().orElseThrow();
         out.add(new Effect.RunOffer(call.key(), target, context, Duration.between(now, call.deadline())));
+        out.add(new Effect.Measure(Timing.WAITING, Duration.between(call.arrivedAt(), now)));
         String team = call.head().team();
         return state.withRunning(state.running().plus(call.key(), running))
                 .withContexts(state.contexts().plus(context, call.key()))
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.effect.Timing;
 import org.heatherhaven.core.event.TrafficEvent.AttemptLost;
 import org.heatherhaven.core.event.TrafficEvent.AttemptRefused;
 import org.heatherhaven.core.logic.admission.GuardLogic;
@@ -198,6 +199,8 @@
 
     private static void finish(Step step, EntryCall call) {
         step.calls = step.calls.without(call.info().call());
+        step.out.add(new Effect.Measure(
+                Timing.WHOLE_CALL, Duration.between(call.info().arrivedAt(), step.now)));
         call.info()
                 .parent()
                 .ifPresent(
--- a/node/src/main/java/org/heatherhaven/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/heatherhaven/node/metrics/NodeMetrics.java
@@ -1,14 +1,24 @@
 package org.heatherhaven.node.metrics;
 
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import io.prometheus.client.CollectorRegistry;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.exporter.common.TextFormat;
 import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.effect.Timing;
 import org.heatherhaven.core.model.Reason;
+import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramResetOnSnapshotReservoir;
 
 /** What a node counts; a counter for each reason of refusals and retries. */
 public final class NodeMetrics {
@@ -17,6 +27,7 @@
     private final Map<Reason, Counter> entryRefusals = new EnumMap<>(Reason.class);
     private final Map<Reason, Counter> targetRefusals = new EnumMap<>(Reason.class);
     private final Map<Reason, Counter> retries = new EnumMap<>(Reason.class);
+    private final Map<Timing, Histogram> latencies = new EnumMap<>(Timing.class);
     private final Counter forwarded = registry.counter("calls.forwarded");
     private final Counter run = registry.counter("calls.run");
     private final Counter answered = registry.counter("calls.answered");
@@ -27,6 +38,12 @@
 
     /** Creates all counters, so that those that never counted are seen as zero. */
     public NodeMetrics() {
+        for (Timing timing : Timing.values()) {
+            latencies.put(
+                    timing,
+                    registry.histogram(
+                            timing.label(), () -> new Histogram(new HdrHistogramResetOnSnapshotReservoir())));
+        }
         for (Reason reason : Reason.values()) {
             entryRefusals.put(reason, registry.counter("refusals.entry." + reason.label()));
             targetRefusals.put(reason, registry.counter("refusals.target." + reason.label()));
@@ -52,6 +69,10 @@
             run.inc();
         } else if (effect instanceof Effect.FinishOffer finish) {
             (finish.whole() ? answered : brokenOff).inc();
+        } else if (effect instanceof Effect.Measure measured) {
+            latencies
+                    .get(measured.timing())
+                    .update(TimeUnit.NANOSECONDS.toMicros(measured.took().toNanos()));
         } else if (effect instanceof Effect.Send) {
             messagesSent.inc();
         }
@@ -86,6 +107,23 @@
         registry.registerGauge(name, gauge);
     }
 
+    /**
+     * All values in the text format that collectors read; latencies are those since the last look, in microseconds.
+     *
+     * @return the text
+     */
+    public String text() {
+        CollectorRegistry collectors = new CollectorRegistry();
+        new DropwizardExports(registry).register(collectors);
+        StringWriter out = new StringWriter();
+        try {
+            TextFormat.write004(out, collectors.metricFamilySamples());
+        } catch (IOException e) {
+            throw new UncheckedIOException("a writer in memory failed", e);
+        }
+        return out.toString();
+    }
+
     /**
      * All values by name.
      *
--- a/node/src/main/java/org/heatherhaven/node/operator/OperatorDesk.java
+++ b/node/src/main/java/org/heatherhaven/node/operator/OperatorDesk.java
@@ -30,6 +30,7 @@
 /** Answers operators' questions from the latest state, without the control thread. */
 public final class OperatorDesk implements Pages {
 
+    private static final String TEXT = "text/plain; version=0.0.4; charset=utf-8";
     private static final String EXPLAIN = "/explain/";
 
     private static final ObjectMapper JSON = new ObjectMapper()
@@ -111,6 +112,7 @@
         return switch (path) {
             case "/status" -> reply(200, status());
             case "/metrics" -> reply(200, metrics.values());
+            case "/metrics.txt" -> new Reply(200, TEXT, metrics.text().getBytes(StandardCharsets.UTF_8));
             case "/policy" -> reply(200, state.get().policy().policy().toSnapshot());
             case "/policy/history" -> reply(200, state.get().policy().recent());
             case "/members" -> reply(200, state.get().fleet().members().values());
