A call beyond its team's rate is told so, also while the owners lend what there is

Change: once an owner has answered within those 200 ms and none is silent, it is the rate (429), and the time to come back covers those that wait already. Tests: BorrowingTest, two cases; the first fails before.

--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Borrowing.java
@@ -32,6 +32,7 @@
     private static final Duration REDIRECT_PAUSE = Duration.ofMillis(10);
     private static final Duration LOST_PAUSE = Duration.ofMillis(50);
     private static final int MAX_WAITERS = 256;
+    private static final double MILLIS_PER_SECOND = 1_000;
     private static final double PACE_SMOOTHING = 0.3;
 
     /** Demand is covered ahead for this many looks. */
@@ -145,7 +146,7 @@
             return state;
         }
         Instant now = context.now();
-        Wallet answered = wallet.withAsks(wallet.asks().minus(grant.right()));
+        Wallet answered = wallet.withAsks(wallet.asks().minus(grant.right())).answered(now);
         if (grant.tokens() > 0) {
             HeldLoan loan = new HeldLoan(
                     grant.right(),
@@ -231,14 +232,31 @@
         Wallet left = wallet;
         while (!left.waiters().isEmpty()
                 && (team == null || !now.isBefore(left.waiters().get(0).until()))) {
-            boolean denied = team != null
-                    && left.denied().keySet().containsAll(context.owners().shares(team));
-            next = next.withRefused(new DeniedCall(left.waiters().get(0).call(), denied, earliest(left, now)));
+            boolean denied = team != null && ownersHaveAnswered(left, team, context);
+            Instant retryAt = team == null ? now : earliestForAll(left, team, now);
+            next = next.withRefused(new DeniedCall(left.waiters().get(0).call(), denied, retryAt));
             left = left.withWaiters(left.waiters().minus(0));
         }
         return next.withWallet(name, left);
     }
 
+    /** Whether calls wait for tokens that are not there yet, and not for an owner that is silent. */
+    private static boolean ownersHaveAnswered(Wallet wallet, Team team, Context context) {
+        Instant now = context.now();
+        boolean silent = wallet.asks().values().stream()
+                .anyMatch(ask -> ask.seq() > 0 && !now.isBefore(ask.askedAt().plus(HEDGE_AFTER)));
+        boolean recent = now.isBefore(wallet.answeredAt().plus(TOKEN_WAIT));
+        return wallet.denied().keySet().containsAll(context.owners().shares(team)) || recent && !silent;
+    }
+
+    /** When there will have been tokens for those that wait already. */
+    private static Instant earliestForAll(Wallet wallet, Team team, Instant now) {
+        Instant served =
+                now.plusMillis((long) (MILLIS_PER_SECOND * wallet.waiters().size() / team.rate()));
+        Instant known = earliest(wallet, now);
+        return known.isAfter(served) ? known : served;
+    }
+
     /**
      * Gives up all borrowed tokens, because it is not known how old they are.
      *
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Wallet.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Wallet.java
@@ -19,6 +19,7 @@
  * @param arrivals calls since the last look
  * @param pace smoothed number of calls between two looks
  * @param usedAt when a call last came
+ * @param answeredAt when an owner last answered a question
  */
 record Wallet(
         PVector<HeldLoan> loans,
@@ -27,11 +28,19 @@
         PMap<RightId, Instant> denied,
         int arrivals,
         double pace,
-        Instant usedAt) {
+        Instant usedAt,
+        Instant answeredAt) {
 
     static Wallet start(Instant now) {
         return new Wallet(
-                TreePVector.empty(), HashTreePMap.empty(), TreePVector.empty(), HashTreePMap.empty(), 0, 0, now);
+                TreePVector.empty(),
+                HashTreePMap.empty(),
+                TreePVector.empty(),
+                HashTreePMap.empty(),
+                0,
+                0,
+                now,
+                Instant.MIN);
     }
 
     int tokens(Instant now) {
@@ -73,26 +82,30 @@
     }
 
     Wallet withLoans(PVector<HeldLoan> next) {
-        return new Wallet(next, asks, waiters, denied, arrivals, pace, usedAt);
+        return new Wallet(next, asks, waiters, denied, arrivals, pace, usedAt, answeredAt);
     }
 
     Wallet withAsks(PMap<RightId, PendingAsk> next) {
-        return new Wallet(loans, next, waiters, denied, arrivals, pace, usedAt);
+        return new Wallet(loans, next, waiters, denied, arrivals, pace, usedAt, answeredAt);
     }
 
     Wallet withWaiters(PVector<Waiter> next) {
-        return new Wallet(loans, asks, next, denied, arrivals, pace, usedAt);
+        return new Wallet(loans, asks, next, denied, arrivals, pace, usedAt, answeredAt);
     }
 
     Wallet withDenied(PMap<RightId, Instant> next) {
-        return new Wallet(loans, asks, waiters, next, arrivals, pace, usedAt);
+        return new Wallet(loans, asks, waiters, next, arrivals, pace, usedAt, answeredAt);
     }
 
     Wallet arrived(Instant now) {
-        return new Wallet(loans, asks, waiters, denied, arrivals + 1, pace, now);
+        return new Wallet(loans, asks, waiters, denied, arrivals + 1, pace, now, answeredAt);
     }
 
     Wallet withPace(double next) {
-        return new Wallet(loans, asks, waiters, denied, 0, next, usedAt);
+        return new Wallet(loans, asks, waiters, denied, 0, next, usedAt, answeredAt);
+    }
+
+    Wallet answered(Instant now) {
+        return new Wallet(loans, asks, waiters, denied, arrivals, pace, usedAt, now);
     }
 }
--- a/core/src/test/java/org/heatherhaven/core/logic/quota/BorrowingTest.java
+++ b/core/src/test/java/org/heatherhaven/core/logic/quota/BorrowingTest.java
@@ -98,4 +98,31 @@
         state = Borrowing.granted(state, none, TEAM, at(3), out);
         expect(List.of(OWNERS.get(NEAR), OWNERS.get(FAR)), asked());
     }
+
+    /** A team far beyond its rate: the owners answer, and what they lend is gone at once. */
+    @Example
+    void callsBeyondTheRateAreRefusedForTheRateThoughItsOwnersLendTokens() {
+        for (int call = 1; call <= 100; call++) {
+            call(call, 0);
+        }
+        for (int millis = 3; millis < 230; millis += 3) {
+            LoanGrant few = new LoanGrant(NEAR, state.nextSeq() - 1, 1, 1_000, 0, true, Optional.empty());
+            state = Borrowing.granted(state, few, TEAM, at(millis), out);
+        }
+        state = Borrowing.tick(state, HashTreePMap.singleton(TEAM.name(), TEAM), at(230), out);
+        expect(true, !state.refused().isEmpty());
+        expect(true, state.refused().stream().allMatch(QuotaState.DeniedCall::denied));
+        Instant first = state.refused().get(0).retryAt();
+        expect(true, first.isAfter(START.plusMillis(230)));
+    }
+
+    @Example
+    void callsWhoseOwnersAreAllSilentAreNotRefusedForTheRate() {
+        call(1, 0);
+        for (int millis = 100; millis <= 300; millis += 100) {
+            state = Borrowing.tick(state, HashTreePMap.singleton(TEAM.name(), TEAM), at(millis), out);
+        }
+        expect(1, state.refused().size());
+        expect(false, state.refused().get(0).denied());
+    }
 }
