--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
@@ -13,7 +13,6 @@
 import org.heatherhaven.core.event.TrafficEvent.TargetResult;
 import org.heatherhaven.core.logic.Hashes;
 import org.heatherhaven.core.logic.admission.Demand.ClassKey;
-import org.heatherhaven.core.logic.pressure.ShedRule;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Reason;
 import org.heatherhaven.core.model.Refusal;
@@ -27,29 +26,17 @@
     /** Length of a measuring window. */
     static final Duration WINDOW = Duration.ofMillis(100);
 
-    /** Time that calls in the queue should wait at most. */
-    static final Duration QUEUE_TARGET = Duration.ofMillis(100);
-
     /** How long calls that wait for a target that leaves may still be handed to it. */
     private static final Duration QUEUE_GRACE = Duration.ofMillis(700);
 
-    private static final int QUEUE_MIN = 8;
-    private static final int QUEUE_MAX = 512;
     private static final double SMOOTHING = 0.1;
     private static final double CAPACITY_SMOOTHING = 0.3;
     private static final double SERVED_FADE = 0.9;
     private static final double SERVED_FLOOR = 0.01;
     private static final double BACK_OFF = 0.9;
     private static final double LIMIT_STEP = 0.5;
-    private static final double LIMIT_MIN = 1;
-    private static final int SHORT_RUN_DIVISOR = 2;
     private static final double FAILURE_PART = 0.1;
 
-    /** The more important first, then what must be answered earliest to be worth the most. */
-    private static final Comparator<Waiting> RANKED = Comparator.comparingInt((Waiting call) ->
-                    ShedRule.urgency(call.head().teamImportance(), call.head().importance()))
-            .thenComparing(call -> call.arrivedAt().plusMillis(call.head().aimMillis()));
-
     private GuardLogic() {}
 
     /**
@@ -86,10 +73,10 @@
                 && call.cohort() >= next.keeps().keep(classKey)) {
             return refuse(next, call, Reason.SHED_AT_TARGET, "the target sheds this cohort", out);
         }
-        if (expectedWait(next).compareTo(Duration.between(now, call.deadline())) >= 0) {
+        if (QueueRules.expectedWait(next).compareTo(Duration.between(now, call.deadline())) >= 0) {
             return refuse(next, call, Reason.TOO_LATE, "it would wait past its deadline", out);
         }
-        if (next.queue().size() >= queueCapacity(next)) {
+        if (next.queue().size() >= QueueRules.capacity(next)) {
             return enqueueByEviction(next, call, out);
         }
         return next.withQueue(next.queue().plus(call));
@@ -99,7 +86,7 @@
         if (!state.mode().ordered()) {
             return refuse(state, call, Reason.QUEUE_FULL, "the queue of the target is full", out);
         }
-        Comparator<Waiting> order = order(state);
+        Comparator<Waiting> order = QueueRules.order(state);
         Waiting worst = state.queue().stream().max(order).orElse(call);
         if (order.compare(call, worst) >= 0) {
             return refuse(state, call, Reason.QUEUE_FULL, "the queue holds more important work", out);
@@ -244,7 +231,7 @@
         GuardState next = state;
         int finished = demand.completions() + demand.failures();
         if (!state.target().reported() && demand.failures() > Math.max(1, finished * FAILURE_PART)) {
-            next = next.withLimit(Math.max(LIMIT_MIN, next.limit() * BACK_OFF));
+            next = next.withLimit(Math.max(QueueRules.LIMIT_MIN, next.limit() * BACK_OFF));
         }
         next = next.withServed(fade(next))
                 .withGauge(next.gauge().closed(WINDOW, next.limit(), next.serviceTime(), demand.saturated()));
@@ -254,8 +241,8 @@
         double capacity = next.capacity() == 0
                 ? demand.completions()
                 : next.capacity() + CAPACITY_SMOOTHING * (demand.completions() - next.capacity());
-        double room =
-                capacity + Math.max(0, queueCapacity(next) / 2.0 - next.queue().size()) / 2;
+        double room = capacity
+                + Math.max(0, QueueRules.capacity(next) / 2.0 - next.queue().size()) / 2;
         KeepTable keeps = next.keeps().divided(demand.arrivals(), room);
         return next.withWindow(capacity, keeps, now.plus(WINDOW));
     }
@@ -273,25 +260,18 @@
         GuardState next = state;
         while (!next.queue().isEmpty()
                 && next.target().ref().isPresent()
-                && next.running().size() < (int) Math.max(LIMIT_MIN, next.limit())) {
+                && next.running().size() < (int) Math.max(QueueRules.LIMIT_MIN, next.limit())) {
             Waiting best = next.mode().ordered()
-                    ? next.queue().stream().min(order(next)).orElseThrow()
+                    ? next.queue().stream().min(QueueRules.order(next)).orElseThrow()
                     : next.queue().get(0);
             next = next.withQueue(next.queue().minus(best));
-            next = hopeless(next, best, now)
+            next = QueueRules.hopeless(next, best, now)
                     ? refuse(next, best, Reason.TOO_LATE, "the target could not finish it in time", out)
                     : run(next, best, now, out);
         }
         return next;
     }
 
-    /** An idle target always gets a call, or a service time that was long once would never be measured again. */
-    private static boolean hopeless(GuardState state, Waiting call, Instant now) {
-        return (state.mode().sheds() || state.mode().ranked())
-                && !state.running().isEmpty()
-                && shortRun(state).compareTo(Duration.between(now, call.deadline())) > 0;
-    }
-
     private static GuardState run(GuardState state, Waiting call, Instant now, Outbox out) {
         // Only this target can send it back, and only for a request that it works on: unique is enough.
         String context = Long.toString(call.key().link(), Character.MAX_RADIX) + "-"
@@ -358,39 +338,6 @@
         return new ClassKey(head.importance(), head.team());
     }
 
-    /** Importance first, then work already begun, then the team served least, then the same cohorts everywhere. */
-    private static Comparator<Waiting> order(GuardState state) {
-        if (state.mode().ranked()) {
-            return RANKED;
-        }
-        return Comparator.comparingInt(
-                        (Waiting call) -> call.head().importance().rank())
-                .thenComparing(call -> !call.nested())
-                .thenComparingDouble(
-                        call -> state.served().getOrDefault(call.head().team(), 0.0))
-                .thenComparingInt(Waiting::cohort)
-                .thenComparing(Waiting::arrivedAt);
-    }
-
-    /** Runs of one target differ: below the time of a short one a call has no chance, above it has some. */
-    private static Duration shortRun(GuardState state) {
-        return state.serviceTime().dividedBy(SHORT_RUN_DIVISOR);
-    }
-
-    private static Duration expectedWait(GuardState state) {
-        double rounds = (state.queue().size() + 1) / Math.max(LIMIT_MIN, state.limit());
-        return Duration.ofNanos((long) (state.serviceTime().toNanos() * rounds)).plus(shortRun(state));
-    }
-
-    private static int queueCapacity(GuardState state) {
-        if (state.serviceTime().isZero()) {
-            return QUEUE_MIN;
-        }
-        double perTarget =
-                state.limit() * QUEUE_TARGET.toNanos() / state.serviceTime().toNanos();
-        return (int) Math.min(QUEUE_MAX, Math.max(QUEUE_MIN, perTarget));
-    }
-
     /**
      * Finds the call that a target works on, by the context it was given.
      *
