--- a/core/src/main/java/org/heatherhaven/core/logic/node/CallFlow.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/CallFlow.java
@@ -179,7 +179,11 @@
         }
         if (isolated(step)) {
             return Optional.of(Refusal.notRun(
-                    Reason.POLICY_STALE, "this node is cut off and can't know whether the key was withdrawn"));
+                    Reason.POLICY_STALE,
+                    "the platform's word that this policy is the newest is "
+                            + Duration.between(step.policy.confirmedAt(), step.now)
+                                    .toMillis()
+                            + " ms old, so that the key may have been withdrawn"));
         }
         return step.policy.policy().teamOf(request.keyHash().get()).isPresent()
                 ? Optional.empty()
