--- a/core/src/main/java/org/heatherhaven/core/logic/admission/QueueRules.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/QueueRules.java
@@ -17,7 +17,6 @@
 
     private static final int QUEUE_MIN = 8;
     private static final int QUEUE_MAX = 512;
-    private static final int SHORT_RUN_DIVISOR = 2;
 
     /** The more important first, then what must be answered earliest to be worth the most. */
     private static final Comparator<Waiting> RANKED = Comparator.comparingInt((Waiting call) ->
@@ -40,15 +39,10 @@
                 .thenComparing(Waiting::arrivedAt);
     }
 
-    /** Runs of one target differ: below the time of a short one a call has no chance, above it has some. */
-    private static Duration shortRun(GuardState state) {
-        return state.serviceTime().dividedBy(SHORT_RUN_DIVISOR);
-    }
-
     /** Time from now until a call that joins the queue would be answered, at best. */
     static Duration expectedWait(GuardState state) {
         double rounds = (state.queue().size() + 1) / Math.max(LIMIT_MIN, state.limit());
-        return Duration.ofNanos((long) (state.serviceTime().toNanos() * rounds)).plus(shortRun(state));
+        return Duration.ofNanos((long) (state.serviceTime().toNanos() * (rounds + 1)));
     }
 
     /** Calls that may wait, so that the last of them waits for about the aim of the queue. */
@@ -65,6 +59,6 @@
     static boolean hopeless(GuardState state, Waiting call, Instant now) {
         return (state.mode().sheds() || state.mode().ranked())
                 && !state.running().isEmpty()
-                && shortRun(state).compareTo(Duration.between(now, call.deadline())) > 0;
+                && state.serviceTime().compareTo(Duration.between(now, call.deadline())) > 0;
     }
 }
--- a/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
+++ b/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
@@ -177,19 +177,4 @@
             throw new AssertionError("the quiet team got " + part + " of its fair share: " + served);
         }
     }
-
-    @Example
-    void aCallThatAShortRunCouldStillAnswerIsHandedToTheTarget() {
-        Outbox out = new Outbox();
-        OfferKey waits = new OfferKey(2, 1);
-        GuardState state = GuardLogic.offered(busy(), waits, head(1, Importance.CRITICAL, "x", 0, 18), START, out);
-        Instant later = START.plusMillis(10);
-        GuardLogic.ended(state, new OfferKey(1, 1_000), TargetResult.ANSWERED, later, out);
-        boolean handed = out.effects().stream()
-                .anyMatch(effect ->
-                        effect instanceof Effect.RunOffer run && run.key().equals(waits));
-        if (!handed) {
-            throw new AssertionError("refused though it had 8 ms left, and runs take 10 ms on average");
-        }
-    }
 }
