Return times are those of ReturnTime: a constant quarter of a second stood in their way

Cause: said that refusals without a time came back at once. That was wrong: each carried a constant 250 ms, so that ReturnTime was never asked and those who were refused together came back together. Change: a refusal has no time until one is decided; entry shedding by cohort, rates and ledgers are covered too.

--- a/core/src/main/java/org/heatherhaven/core/logic/pressure/ReturnTime.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/pressure/ReturnTime.java
@@ -31,12 +31,19 @@
      */
     public static Duration after(Reason reason, int pressure, double point) {
         return switch (reason) {
-            case QUEUE_FULL, TOO_LATE, SHED_AT_TARGET, TARGET_OVERLOADED, NODE_OVERLOADED ->
+            case QUEUE_FULL, TOO_LATE, SHED_AT_ENTRY, SHED_AT_TARGET, TARGET_OVERLOADED, NODE_OVERLOADED ->
                 QUEUE_DRAINS
                         .plus(part(SPREAD_OF_A_PEAK, point))
                         .plus(part(SPREAD_OF_AN_OVERLOAD, point * pressure / RoutePressure.FULL));
-            case NO_TARGET, LINK_LOST, TARGET_FAILED, QUOTA_UNAVAILABLE, POLICY_UNKNOWN ->
-                FLEET_RECOVERS.plus(part(SPREAD_OF_A_RECOVERY, point));
+            case RATE,
+                    NO_TARGET,
+                    LINK_LOST,
+                    TARGET_FAILED,
+                    TARGET_REPLACED,
+                    QUOTA_UNAVAILABLE,
+                    LEDGER_UNAVAILABLE,
+                    LEDGER_FULL,
+                    POLICY_UNKNOWN -> FLEET_RECOVERS.plus(part(SPREAD_OF_A_RECOVERY, point));
             case POLICY_STALE -> PLATFORM_IS_HEARD_AGAIN.plus(part(SPREAD_OF_A_RECOVERY, point));
             default -> Duration.ZERO;
         };
--- a/core/src/main/java/org/heatherhaven/core/model/Refusal.java
+++ b/core/src/main/java/org/heatherhaven/core/model/Refusal.java
@@ -7,13 +7,11 @@
  *
  * @param reason why
  * @param outcome what is known of the execution
- * @param retryAfter when a new try makes sense
+ * @param retryAfter when a new try makes sense, zero if nobody has said so yet
  * @param detail one sentence for a person
  */
 public record Refusal(Reason reason, Outcome outcome, Duration retryAfter, String detail) {
 
-    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(250);
-
     /**
      * A refusal of a request that is proven not to have run.
      *
@@ -22,7 +20,7 @@
      * @return the refusal
      */
     public static Refusal notRun(Reason reason, String detail) {
-        return new Refusal(reason, Outcome.NOT_RUN, DEFAULT_RETRY_AFTER, detail);
+        return new Refusal(reason, Outcome.NOT_RUN, Duration.ZERO, detail);
     }
 
     /**
@@ -33,7 +31,7 @@
      * @return the refusal
      */
     public static Refusal unknown(Reason reason, String detail) {
-        return new Refusal(reason, Outcome.UNKNOWN, DEFAULT_RETRY_AFTER, detail);
+        return new Refusal(reason, Outcome.UNKNOWN, Duration.ZERO, detail);
     }
 
     /**
