--- a/cli/src/main/java/org/heatherhaven/cli/run/LogConfigurator.java
+++ b/cli/src/main/java/org/heatherhaven/cli/run/LogConfigurator.java
@@ -12,7 +12,7 @@
 import ch.qos.logback.core.spi.ContextAwareBase;
 
 /**
- * Sets up the log without a file: reading XML would take a tenth of the time in which a killed process is back.
+ * Sets up the log without a file, so that no XML has to be read at each start.
  *
  * <p>Lines for people go to standard error, structured lines to standard output.
  */
