A key is kept for as long as its last submission may wait; a paused node asks for no permit

The ledger's memory covered the time in which callers send again, not the wait behind it. Ruled out before: later start of a process whose clock stood behind; the rule for pauses. Change: a request must be permitted within 3 s of its arrival (asked, asked again or answered later: refused, not run), and ledgers keep keys for the resend window plus those 3 s.

--- a/core/src/main/java/org/heatherhaven/core/logic/node/Permits.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Permits.java
@@ -22,11 +22,23 @@
 
     private static final Duration ASK_AGAIN = Duration.ofMillis(250);
     private static final Duration REDIRECT_PAUSE = Duration.ofMillis(10);
-    private static final Duration PERMIT_WAIT = Duration.ofSeconds(3);
 
     private Permits() {}
 
     static void ask(Step step, EntryCall call) {
+        if (tooOld(step, call)) {
+            Attempts.refuse(step, call, Refusal.notRun(Reason.NODE_OVERLOADED, "it waited here for too long"));
+            return;
+        }
+        sendAsk(step, call);
+    }
+
+    /** Beyond this age a ledger may have forgotten an earlier submission of the key. */
+    private static boolean tooOld(Step step, EntryCall call) {
+        return Duration.between(call.info().arrivedAt(), step.now).compareTo(OnceLogic.LONGEST_WAIT) > 0;
+    }
+
+    private static void sendAsk(Step step, EntryCall call) {
         RightId slot = slotOf(call);
         Optional<NodeId> holder = RightsLogic.whereIs(step.rights, slot, step.fleet);
         holder.ifPresent(node -> step.out.add(new Effect.Send(
@@ -40,12 +52,12 @@
     }
 
     static void askAgain(Step step, EntryCall call) {
-        if (Duration.between(call.info().arrivedAt(), step.now).compareTo(PERMIT_WAIT) > 0) {
+        if (tooOld(step, call)) {
             Attempts.refuse(
                     step, call, Refusal.unknown(Reason.LEDGER_UNAVAILABLE, "the ledger's holder can't be reached"));
             return;
         }
-        ask(step, call);
+        sendAsk(step, call);
     }
 
     private static RightId slotOf(EntryCall call) {
@@ -60,7 +72,7 @@
         }
         EntryCall call = waiting.get();
         switch (answer.verdict()) {
-            case PERMITTED -> Attempts.send(step, call.withPermit());
+            case PERMITTED -> permitted(step, call.withPermit());
             case RAN -> Attempts.refuse(step, call, duplicate(Outcome.RUN, "an earlier submission of this key ran"));
             case MAY_HAVE_RUN ->
                 Attempts.refuse(
@@ -81,6 +93,14 @@
         }
     }
 
+    private static void permitted(Step step, EntryCall call) {
+        if (tooOld(step, call)) {
+            Attempts.refuse(step, call, Refusal.notRun(Reason.NODE_OVERLOADED, "its permit came too late"));
+            return;
+        }
+        Attempts.send(step, call);
+    }
+
     private static Refusal duplicate(Outcome outcome, String detail) {
         return new Refusal(Reason.DUPLICATE, outcome, Duration.ZERO, detail);
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/once/OnceLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/once/OnceLogic.java
@@ -34,6 +34,9 @@
     /** Number of slots that the keys of a service are divided into; equal on every node and in every version. */
     public static final int SLOTS_PER_SERVICE = 8;
 
+    /** Time after its arrival within which a request must be permitted; a node that was paused refuses older ones. */
+    public static final Duration LONGEST_WAIT = Duration.ofSeconds(3);
+
     private OnceLogic() {}
 
     /**
@@ -74,7 +77,7 @@
             return state;
         }
         Ledger ledger = ledgerOf(state, ask.right(), rights.find(ask.right()).orElseThrow(), limits, now)
-                .expired(limits.memory(), now);
+                .expired(limits.retention(), now);
         Verdict verdict = judge(ledger, limits, ask, now);
         reply(ask, verdict, Optional.empty(), out);
         if (verdict != Verdict.PERMITTED) {
@@ -102,6 +105,15 @@
         public LedgerLimits(Duration memory, int keys) {
             this(memory, keys, true);
         }
+
+        /**
+         * How long a key is kept: the last submission that a caller may send can still wait for its permit.
+         *
+         * @return time since the key was permitted
+         */
+        public Duration retention() {
+            return memory.plus(LONGEST_WAIT);
+        }
     }
 
     private static Verdict judge(Ledger ledger, LedgerLimits limits, PermitAsk ask, Instant now) {
@@ -128,7 +140,7 @@
             return known;
         }
         boolean first = held.takenBy() == Acquisition.CREATED;
-        return Ledger.open(term, first ? Instant.MIN : held.takenAt().plus(limits.memory()));
+        return Ledger.open(term, first ? Instant.MIN : held.takenAt().plus(limits.retention()));
     }
 
     /**
@@ -242,7 +254,7 @@
         OnceState next = state;
         for (RightId slot : state.ledgers().keySet()) {
             Ledger ledger = state.ledgers().get(slot);
-            Ledger expired = ledger.expired(limits.memory(), now);
+            Ledger expired = ledger.expired(limits.retention(), now);
             if (expired != ledger) {
                 next = next.with(slot, expired);
             }
