A peer connection is silent only once a call has waited on it

Cause: Netty's idle handler counts from the last byte read. On a connection that nobody used for 5 s its next event closed it although the first new call had been offered milliseconds before: the call was cut at its target and its caller told 502. The larger the fleet, the more connections are seldom used. Ruled out: planned stops of either node (their times don't match), the caller's own close. Change: the time counts from when the first of the waiting calls was offered, or from the last word of the peer. Test: SilentLinkTest, two of its three examples fail with the old rule.

--- a/node/src/main/java/org/heatherhaven/node/peer/PeerLink.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/PeerLink.java
@@ -2,11 +2,14 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -44,6 +47,7 @@
     private final NodeId peer;
     private final PeerSettings settings;
     private final EventLoop loop;
+    private final InstantSource clock;
     private final Runnable closed;
     private final Map<Long, AttemptListener> streams = new HashMap<>();
     private final Queue<Frame> pending = new ArrayDeque<>();
@@ -52,10 +56,14 @@
     private boolean over;
     private long lastStream;
 
-    PeerLink(NodeId peer, PeerSettings settings, EventLoop loop, Runnable closed) {
+    /** Since when calls have waited without a word of the peer. */
+    private Instant waitingSince = Instant.MIN;
+
+    PeerLink(NodeId peer, PeerSettings settings, EventLoop loop, InstantSource clock, Runnable closed) {
         this.peer = peer;
         this.settings = settings;
         this.loop = loop;
+        this.clock = clock;
         this.closed = closed;
     }
 
@@ -80,7 +88,7 @@
         });
     }
 
-    private void opened() {
+    void opened() {
         open = true;
         while (!pending.isEmpty()) {
             channel.write(pending.poll());
@@ -102,6 +110,9 @@
             }
             lastStream++;
             stream.number(lastStream);
+            if (streams.isEmpty()) {
+                waitingSince = clock.instant();
+            }
             streams.put(lastStream, listener);
             write(Frame.of(FrameType.OFFER, lastStream, head));
         });
@@ -157,6 +168,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
+        waitingSince = clock.instant();
         AttemptListener listener = streams.get(frame.stream());
         if (listener == null) {
             frame.data().release();
@@ -189,12 +201,26 @@
             return;
         }
         if (idle.state() == IdleState.READER_IDLE) {
-            ctx.close();
+            closeIfSilent(ctx);
         } else if (idle.state() == IdleState.WRITER_IDLE && open) {
             ctx.writeAndFlush(Frame.bare(FrameType.KEEPALIVE, 0));
         }
     }
 
+    /** A connection that nobody used for long is not silent before its first call has waited. */
+    private void closeIfSilent(ChannelHandlerContext ctx) {
+        if (streams.isEmpty()) {
+            return;
+        }
+        Duration left = PeerPipeline.SILENCE_LIMIT.minus(Duration.between(waitingSince, clock.instant()));
+        if (left.isNegative() || left.isZero()) {
+            LOGGER.warn("Connection to {} is closed: {} calls wait, and nothing came", peer, streams.size());
+            ctx.close();
+            return;
+        }
+        loop.schedule(() -> closeIfSilent(ctx), left.toMillis() + 1, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         shut();
--- a/node/src/main/java/org/heatherhaven/node/peer/PeerLinks.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/PeerLinks.java
@@ -87,7 +87,7 @@
         int colon = to.value().lastIndexOf(':');
         InetSocketAddress address = new InetSocketAddress(
                 to.value().substring(0, colon), Integer.parseInt(to.value().substring(colon + 1)));
-        PeerLink link = new PeerLink(to, settings, group.next(), () -> lost(to));
+        PeerLink link = new PeerLink(to, settings, group.next(), clock, () -> lost(to));
         // Connecting on the loop keeps a failure at once from reaching the map before the link is in it.
         link.loop().execute(() -> link.connect(address));
         return link;
--- a/node/src/main/java/org/heatherhaven/node/peer/PeerPipeline.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/PeerPipeline.java
@@ -1,5 +1,6 @@
 package org.heatherhaven.node.peer;
 
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -15,7 +16,7 @@
 final class PeerPipeline {
 
     /** A connection with calls under way that is silent for this long is given up. */
-    private static final int SILENCE_LIMIT_SECONDS = 5;
+    static final Duration SILENCE_LIMIT = Duration.ofSeconds(5);
 
     private static final int KEEPALIVE_SECONDS = 1;
 
@@ -38,7 +39,7 @@
         }
         pipeline.addLast(
                 new FlushConsolidationHandler(FlushConsolidationHandler.DEFAULT_EXPLICIT_FLUSH_AFTER_FLUSHES, true));
-        pipeline.addLast(new IdleStateHandler(SILENCE_LIMIT_SECONDS, KEEPALIVE_SECONDS, 0, TimeUnit.SECONDS));
+        pipeline.addLast(new IdleStateHandler(SILENCE_LIMIT.toSeconds(), KEEPALIVE_SECONDS, 0, TimeUnit.SECONDS));
         pipeline.addLast(new FrameCodec(settings.maxFrameBytes()));
         pipeline.addLast(new Handshake(initiator, settings.hello(), settings.secrets(), proven));
         pipeline.addLast(last);
--- /dev/null
+++ b/node/src/test/java/org/heatherhaven/node/peer/SilentLinkTest.java
@@ -0,0 +1,132 @@
+package org.heatherhaven.node.peer;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.timeout.IdleStateEvent;
+import net.jqwik.api.Example;
+import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Outcome;
+import org.heatherhaven.core.model.Signal;
+import org.heatherhaven.node.wire.AnswerEnd;
+import org.heatherhaven.node.wire.AnswerHead;
+import org.heatherhaven.node.wire.Frame;
+import org.heatherhaven.node.wire.FrameType;
+import org.heatherhaven.node.wire.RefusedHead;
+
+/** A connection to a peer is given up when calls wait and nothing comes, and only then. */
+class SilentLinkTest {
+
+    private static final Duration HOUR = Duration.ofHours(1);
+
+    private final List<Outcome> lost = new ArrayList<>();
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+    private final PeerLink link =
+            new PeerLink(new NodeId("10.0.0.1:7000"), null, channel.eventLoop(), () -> now, () -> {});
+
+    SilentLinkTest() {
+        channel.freezeTime();
+        channel.pipeline().addLast(link);
+        link.opened();
+    }
+
+    private void pass(Duration time) {
+        now = now.plus(time);
+        channel.advanceTimeBy(time.toMillis(), TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
+    private void noticeNothingRead() {
+        channel.pipeline().fireUserEventTriggered(IdleStateEvent.READER_IDLE_STATE_EVENT);
+    }
+
+    private void offer() {
+        link.offer(null, new Waiting());
+        channel.runPendingTasks();
+        channel.releaseOutbound();
+    }
+
+    private static void expect(Object expected, Object actual) {
+        if (!expected.equals(actual)) {
+            throw new AssertionError("expected " + expected + ", got " + actual);
+        }
+    }
+
+    @Example
+    void aCallOfferedOnALongIdleConnectionIsNotCutByTheIdleTimeBeforeIt() {
+        pass(HOUR);
+        offer();
+        pass(Duration.ofMillis(27));
+        noticeNothingRead();
+        pass(Duration.ofMillis(1));
+        expect(true, channel.isActive());
+        expect(List.of(), lost);
+    }
+
+    @Example
+    void aCallThatWaitsWithoutAWordForTheWholeLimitIsGivenUp() {
+        pass(HOUR);
+        offer();
+        pass(Duration.ofMillis(27));
+        noticeNothingRead();
+        pass(PeerPipeline.SILENCE_LIMIT);
+        expect(false, channel.isActive());
+        expect(List.of(Outcome.UNKNOWN), lost);
+    }
+
+    @Example
+    void aWordOfThePeerKeepsTheConnection() {
+        offer();
+        pass(PeerPipeline.SILENCE_LIMIT.minusMillis(10));
+        channel.writeInbound(Frame.bare(FrameType.KEEPALIVE, 0));
+        pass(Duration.ofMillis(20));
+        noticeNothingRead();
+        pass(Duration.ofMillis(20));
+        expect(true, channel.isActive());
+    }
+
+    /** A call whose loss is noted. */
+    private final class Waiting implements AttemptListener {
+
+        @Override
+        public void answered(AnswerHead head) {
+            throw new AssertionError("nothing was answered");
+        }
+
+        @Override
+        public void chunk(ByteBuf data) {
+            throw new AssertionError("nothing was answered");
+        }
+
+        @Override
+        public void ended(AnswerEnd end) {
+            throw new AssertionError("nothing was answered");
+        }
+
+        @Override
+        public void replied(AnswerHead head, ByteBuf data, Signal signal) {
+            throw new AssertionError("nothing was answered");
+        }
+
+        @Override
+        public void refused(RefusedHead refused) {
+            throw new AssertionError("nothing was refused");
+        }
+
+        @Override
+        public void credit(int bytes) {
+            throw new AssertionError("no credit was given");
+        }
+
+        @Override
+        public void lost(Outcome outcome) {
+            lost.add(outcome);
+        }
+    }
+}
