Members are told of within the zone first, each once or twice, and answers to probes carry no news

Read from the code: each piece of news was told 17 times (twice the doublings of the fleet and 3), in lists of 8 that differed from neighbour to neighbour, and in both directions; three whole tables were asked for at a start, whatever their zone. Change: two of the three rings stay in the zone; a round tells all neighbours the same news, two rounds in all; answers carry only what the prober must refute; a table is asked for from one near member and one elsewhere, and compared nearby three times out of four. A page holds 512 members, so that two whole tables of 300 are compared. Ruled out: no comparison while news are on their way, and three rounds: MembershipTest (30% of messages lost) found a member unknown after 15 s.

--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Outbox;
@@ -45,8 +46,20 @@
     private static final Duration COMPARE_PER_MEMBER = Duration.ofMillis(60);
     private static final Duration LIST_RETRY = Duration.ofSeconds(2);
     private static final int RELAYS = 2;
-    private static final int MAX_NEWS_PER_MESSAGE = 8;
-    private static final int PAGE_MEMBERS = 256;
+    private static final int SEEDS = 2;
+    private static final int NEAR_SEEDS = 1;
+    private static final int MAX_NEWS_PER_MESSAGE = 32;
+
+    /**
+     * Rounds in which all neighbours are told a piece of news: the second makes up for a lost message, and what is
+     * missed even then is found when tables are compared.
+     */
+    private static final int ROUNDS_TOLD = 2;
+
+    /** One comparison in this many goes to any zone, the others stay near. */
+    private static final int FAR_COMPARED = 4;
+
+    private static final int PAGE_MEMBERS = 512;
     private static final long NO_DIGEST = 0;
 
     private MembershipLogic() {}
@@ -76,25 +89,27 @@
         MembershipState next = state;
         if (state.neighboursStale()) {
             next = next.withNeighbours(
-                    Rings.successors(state.self().id(), state.members().values()));
+                    Rings.successors(state.self(), state.members().values()));
         }
+        Rumours told = withNews(next, rumours);
         for (NodeId neighbour : next.neighbours()) {
-            next = probe(next, neighbour, rumours, now, out);
+            next = probe(next, neighbour, told, now, out);
         }
+        next = next.neighbours().isEmpty()
+                ? next
+                : newsTold(next, told.members().size());
         Duration interval = next.news().isEmpty() ? PROBE_INTERVAL : NEWS_INTERVAL;
         return next.withNextProbeAt(now.plus(interval));
     }
 
-    private static MembershipState probe(
-            MembershipState state, NodeId target, Rumours rumours, Instant now, Outbox out) {
+    private static MembershipState probe(MembershipState state, NodeId target, Rumours told, Instant now, Outbox out) {
         long seq = state.nextSeq();
-        MembershipState told = countSend(state);
-        out.add(new Effect.Send(target, new Probe(state.self(), seq, withNews(state, rumours))));
+        out.add(new Effect.Send(target, new Probe(state.self(), seq, told)));
         boolean waiting = state.pending().values().stream()
                 .anyMatch(pending -> pending.target().equals(target));
         PMap<Long, PendingProbe> pending =
                 waiting ? state.pending() : state.pending().plus(seq, new PendingProbe(target, now, false));
-        return told.withPending(pending, seq + 1);
+        return state.withPending(pending, seq + 1);
     }
 
     private static MembershipState checkPending(MembershipState state, Instant now, Outbox out) {
@@ -139,8 +154,9 @@
             if (member.isPresent() && member.get().status() == MemberStatus.SUSPECT) {
                 Member dead = member.get().withStatus(MemberStatus.DEAD);
                 next = learn(next, dead, now);
-                // Every node comes to this conclusion; only the one before it in the first ring clears up after it.
-                if (next.neighbours().indexOf(dead.id()) == 0) {
+                // Every node comes to this conclusion; only the one before it in the last ring, which crosses all
+                // zones, clears up after it.
+                if (next.neighbours().indexOf(dead.id()) == next.neighbours().size() - 1) {
                     out.add(new Effect.RemoveAnnouncement(dead.owner()));
                 }
             }
@@ -178,7 +194,11 @@
         if (others.isEmpty()) {
             return;
         }
-        NodeId peer = others.get(random.nextInt(others.size())).id();
+        List<Member> near = others.stream()
+                .filter(member -> member.zone().equals(state.self().zone()))
+                .toList();
+        List<Member> peers = near.isEmpty() || random.nextInt(FAR_COMPARED) == 0 ? others : near;
+        NodeId peer = peers.get(random.nextInt(peers.size())).id();
         boolean onePage = others.size() < PAGE_MEMBERS;
         String after =
                 onePage ? "" : others.get(random.nextInt(others.size())).id().value();
@@ -223,13 +243,22 @@
         List<Member> others = members.stream()
                 .filter(member -> !member.id().equals(state.self().id()))
                 .toList();
-        Rings.rendezvous("join|" + state.self().id(), others, Rings.RINGS)
+        seeds(state.self(), others)
                 .forEach(seed ->
                         out.add(new Effect.Send(seed.id(), new MembersPull(state.self(), "", true, NO_DIGEST))));
         // The list is no word of a peer: it vouches for nothing that a peer would know.
         return next;
     }
 
+    /** Members that are asked for their whole table: near ones, and one elsewhere, should the zone be cut off. */
+    private static List<Member> seeds(Member self, List<Member> others) {
+        Map<Boolean, List<Member>> byZone = others.stream()
+                .collect(Collectors.partitioningBy(member -> member.zone().equals(self.zone())));
+        List<Member> seeds = new ArrayList<>(Rings.rendezvous("join|" + self.id(), byZone.get(true), NEAR_SEEDS));
+        seeds.addAll(Rings.rendezvous("join|" + self.id(), byZone.get(false), SEEDS - seeds.size()));
+        return seeds;
+    }
+
     /**
      * Answers a member that joins.
      *
@@ -293,14 +322,10 @@
         MembershipState next = hear(state, probe.from(), probe.rumours(), now);
         // A prober that this node holds for dead must learn so, or it could not refute it.
         Optional<Member> account = state.find(probe.from().id()).filter(known -> known.supersedes(probe.from()));
-        Rumours news = withNews(next, rumours);
-        if (account.isPresent()) {
-            List<Member> members = new ArrayList<>(news.members());
-            members.add(account.get());
-            news = new Rumours(members, news.policyVersion(), news.confirmedAgoMillis());
-        }
-        out.add(new Effect.Send(probe.replyTo(), new ProbeAck(next.self(), probe.seq(), news)));
-        return countSend(next);
+        Rumours answer = new Rumours(
+                account.map(List::of).orElse(List.of()), rumours.policyVersion(), rumours.confirmedAgoMillis());
+        out.add(new Effect.Send(probe.replyTo(), new ProbeAck(next.self(), probe.seq(), answer)));
+        return next;
     }
 
     /**
@@ -448,10 +473,7 @@
                 break;
             }
         }
-        int fleetBits =
-                Integer.SIZE - Integer.numberOfLeadingZeros(state.members().size());
-        // Twice the number of doublings, with a factor for the messages a node sends in one round.
-        return state.withNews(news.plus(new News(member, 2 * fleetBits + Rings.RINGS)));
+        return state.withNews(news.plus(new News(member, ROUNDS_TOLD)));
     }
 
     private static Rumours withNews(MembershipState state, Rumours rumours) {
@@ -462,12 +484,12 @@
         return new Rumours(members, rumours.policyVersion(), rumours.confirmedAgoMillis());
     }
 
-    private static MembershipState countSend(MembershipState state) {
-        PVector<News> news = state.news();
-        int sent = Math.min(MAX_NEWS_PER_MESSAGE, news.size());
+    /** Counts a round in which the oldest news were told to all neighbours. */
+    private static MembershipState newsTold(MembershipState state, int sent) {
         if (sent == 0) {
             return state;
         }
+        PVector<News> news = state.news();
         List<News> again = new ArrayList<>();
         for (int i = 0; i < sent; i++) {
             News told = news.get(i);
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/Rings.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/Rings.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
 
 import org.heatherhaven.core.logic.Hashes;
 import org.heatherhaven.core.model.Member;
@@ -11,44 +13,65 @@
 /**
  * Chooses whom to probe: the successor in each of a few rings, ordered by independent hashes.
  *
- * <p>Every member then probes, and is probed by, a fixed small number of others over standing connections, whatever
- * the size of the fleet, and the rings together form a random graph on which news spreads in a logarithmic number of
- * steps.
+ * <p>Every member then probes, and is probed by, a small number of others over standing connections, whatever the size
+ * of the fleet, and the rings together form a random graph on which news spreads in a logarithmic number of steps. Most
+ * rings stay within a zone, so that what is told to all crosses zones by one of them only.
  */
 public final class Rings {
 
     /** Number of rings, and so of neighbours. */
     static final int RINGS = 3;
 
+    /** Rings that stay within a zone, where connections are short and cheap; the last one crosses all zones. */
+    private static final int ZONE_RINGS = 2;
+
     private Rings() {}
 
-    static List<NodeId> successors(NodeId self, Collection<Member> members) {
+    static List<NodeId> successors(Member self, Collection<Member> members) {
+        List<Member> others = members.stream()
+                .filter(member -> !member.status().gone() && !member.id().equals(self.id()))
+                .toList();
+        List<Member> near = others.stream()
+                .filter(member -> member.zone().equals(self.zone()))
+                .toList();
         List<NodeId> chosen = new ArrayList<>();
         for (int ring = 0; ring < RINGS; ring++) {
-            NodeId next = successor(self, members, ring, chosen);
-            if (next != null) {
-                chosen.add(next);
-            }
+            boolean zoneRing = ring < ZONE_RINGS && near.size() > chosen.size();
+            successor(self.id(), zoneRing ? near : others, ring, chosen).ifPresent(chosen::add);
         }
         return List.copyOf(chosen);
     }
 
-    private static NodeId successor(NodeId self, Collection<Member> members, int ring, List<NodeId> taken) {
+    private static Optional<NodeId> successor(NodeId self, List<Member> members, int ring, List<NodeId> taken) {
         long own = Hashes.of(ring + "|" + self.value());
-        NodeId best = null;
-        long bestDistance = 0;
-        for (Member member : members) {
-            NodeId id = member.id();
-            if (member.status().gone() || id.equals(self) || taken.contains(id)) {
-                continue;
-            }
-            long distance = Hashes.of(ring + "|" + id.value()) - own;
-            if (best == null || Long.compareUnsigned(distance, bestDistance) < 0) {
-                best = id;
-                bestDistance = distance;
-            }
-        }
-        return best;
+        return members.stream()
+                .map(Member::id)
+                .filter(id -> !taken.contains(id))
+                .min((a, b) -> Long.compareUnsigned(distance(ring, own, a), distance(ring, own, b)));
+    }
+
+    private static long distance(int ring, long own, NodeId id) {
+        return Hashes.of(ring + "|" + id.value()) - own;
+    }
+
+    /**
+     * Orders candidates for a task by rendezvous hashing.
+     *
+     * @param task name of the task
+     * @param candidates candidates
+     * @param name unique name of a candidate, equal on every node
+     * @param count how many to choose
+     * @param <T> type of the candidates
+     * @return the chosen candidates, best first
+     */
+    public static <T> List<T> rendezvous(String task, Collection<T> candidates, Function<T, String> name, int count) {
+        record Ranked<T>(T candidate, long weight) {}
+        return candidates.stream()
+                .map(candidate -> new Ranked<>(candidate, Hashes.of(task + "|" + name.apply(candidate))))
+                .sorted((a, b) -> Long.compareUnsigned(b.weight(), a.weight()))
+                .limit(count)
+                .map(Ranked::candidate)
+                .toList();
     }
 
     /**
@@ -60,13 +83,6 @@
      * @return the chosen members, best first
      */
     public static List<Member> rendezvous(String task, Collection<Member> members, int count) {
-        record Ranked(Member member, long weight) {}
-        return members.stream()
-                .map(member ->
-                        new Ranked(member, Hashes.of(task + "|" + member.id().value())))
-                .sorted((a, b) -> Long.compareUnsigned(b.weight(), a.weight()))
-                .limit(count)
-                .map(Ranked::member)
-                .toList();
+        return rendezvous(task, members, member -> member.id().value(), count);
     }
 }
--- a/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/SmallFleet.java
@@ -65,6 +65,7 @@
     private Duration workTime = Duration.ofMillis(20);
     private TargetResult workResult = TargetResult.ANSWERED;
     private Consumer<SmallFleet> afterEachStep = fleet -> {};
+    private BiConsumer<TestNode, Effect.Send> onSend = (node, send) -> {};
 
     private record Due(Instant at, long order, Runnable action) {}
 
@@ -320,7 +321,13 @@
         return new TrafficEvent.AttemptEnded(attempt.call(), attempt.attempt(), finish.whole(), finish.signal());
     }
 
+    /** Shows each control message to an observer, with the node that sends it. */
+    public void onSend(BiConsumer<TestNode, Effect.Send> observer) {
+        onSend = observer;
+    }
+
     private void send(TestNode from, Effect.Send send) {
+        onSend.accept(from, send);
         if (send.to().equals(from.id)) {
             after(Duration.ZERO, () -> deliver(from, new ControlEvent.PeerSaid(send.message())));
             return;
