A small team has few shares of usable size, filled before the first call; placement follows lenders only

Most of its 90 teams have a rate and a burst of 5; divided by five zones a share held one token, a node asked three of the five, and a bucket began to fill only when it was first asked. And all teams were placed anew at each change of any member, in every step. Change: a team has one share for 5 tokens of its burst, three at least, in zones chosen by its name; a share holds 3 tokens where the operators tolerate as many beyond the burst (NodeRules.quotaSlack, 0 unless set); tokens gather since the share's owner may lend; teams are placed when they are asked for, and again only if a lender comes, goes or dies.

--- a/core/src/main/java/org/heatherhaven/core/logic/node/CallFlow.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/CallFlow.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 
 import org.apache.commons.codec.digest.DigestUtils;
@@ -136,7 +137,8 @@
             proceed(step, call);
             return;
         }
-        step.quota = Borrowing.arrived(step.quota, event.call(), team.get(), step.borrowing(), step.out);
+        step.quota =
+                Borrowing.arrived(step.quota, event.call(), team.get(), step.borrowing(List.of(team.get())), step.out);
     }
 
     /** Refuses a root request for which there is no room behind its route; calls of running work are not held up. */
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeRules.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeRules.java
@@ -15,6 +15,7 @@
  * @param routing way of choosing targets
  * @param retry way of retrying
  * @param quota way of dividing the teams' rates
+ * @param quotaSlack calls of a team beyond its rate and burst that the operators tolerate over the whole fleet
  * @param retryLimits this node's part of each service's retry budget
  * @param ledger sizes of the idempotency ledgers
  * @param maxCalls calls under way at which new ones are refused
@@ -29,6 +30,7 @@
         RoutingMode routing,
         RetryMode retry,
         QuotaMode quota,
+        double quotaSlack,
         RetryLimits retryLimits,
         LedgerLimits ledger,
         int maxCalls,
@@ -74,6 +76,7 @@
                 RoutingMode.TWO_CHOICES,
                 RetryMode.BUDGET,
                 QuotaMode.PLACED,
+                0,
                 RetryLimits.DEFAULT,
                 new LedgerLimits(LEDGER_MEMORY, LEDGER_KEYS),
                 MAX_CALLS,
@@ -98,6 +101,7 @@
                 nextRouting,
                 nextRetry,
                 quota,
+                quotaSlack,
                 retryLimits,
                 ledger,
                 maxCalls,
@@ -120,6 +124,7 @@
                 routing,
                 retry,
                 quota,
+                quotaSlack,
                 retryLimits,
                 next,
                 maxCalls,
@@ -144,6 +149,7 @@
                 routing,
                 retry,
                 quota,
+                quotaSlack,
                 nextRetryLimits,
                 ledger,
                 maxCalls,
@@ -166,6 +172,7 @@
                 routing,
                 retry,
                 quota,
+                quotaSlack,
                 retryLimits,
                 ledger,
                 maxCalls,
@@ -180,14 +187,16 @@
      * Copies these rules with another way of dividing the teams' rates.
      *
      * @param next the way
+     * @param nextSlack calls beyond a team's rate and burst that the operators tolerate
      * @return the changed rules
      */
-    public NodeRules withQuota(QuotaMode next) {
+    public NodeRules withQuota(QuotaMode next, double nextSlack) {
         return new NodeRules(
                 admission,
                 routing,
                 retry,
                 next,
+                nextSlack,
                 retryLimits,
                 ledger,
                 maxCalls,
--- a/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
@@ -122,11 +122,10 @@
         if (step.rules.quota() == QuotaMode.LEASED) {
             seekIfUnusable(step, ask.right());
         }
-        ShareOwners owners = step.shareOwners();
-        Optional<Team> team = Optional.ofNullable(
-                        step.policy.policy().teams().get(ask.right().name()))
-                .map(owners::divided);
-        step.quota = Lending.asked(step.quota, owners, team, ask, step.now, step.out);
+        Optional<Team> team =
+                Optional.ofNullable(step.policy.policy().teams().get(ask.right().name()));
+        ShareOwners owners = step.shareOwners(team.stream().toList());
+        step.quota = Lending.asked(step.quota, owners, team.map(owners::divided), ask, step.now, step.out);
     }
 
     private static void onLoanGrant(Step step, LoanGrant grant) {
@@ -135,7 +134,7 @@
         }
         Team team = step.policy.policy().teams().get(grant.right().name());
         if (team != null) {
-            step.quota = Borrowing.granted(step.quota, grant, team, step.borrowing(), step.out);
+            step.quota = Borrowing.granted(step.quota, grant, team, step.borrowing(List.of(team)), step.out);
         }
     }
 
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.logic.membership.MembershipLogic;
@@ -24,6 +26,7 @@
 import org.heatherhaven.core.model.Route;
 import org.heatherhaven.core.model.Team;
 import org.heatherhaven.core.model.Zone;
+import org.pcollections.PMap;
 
 /** What follows from new policy versions, and the duties that a few nodes carry for all. */
 final class Spreading {
@@ -91,13 +94,21 @@
     static void tickHoldings(Step step) {
         tickBuckets(step);
         step.once = OnceLogic.tick(step.once, step.rules.ledger(), step.now);
-        step.quota = Borrowing.tick(step.quota, step.policy.policy().teams(), step.borrowing(), step.out);
+        PMap<String, Team> teams = step.policy.policy().teams();
+        List<Team> borrowers = known(teams, step.quota.wallets().keySet().stream());
+        step.quota = Borrowing.tick(step.quota, teams, step.borrowing(borrowers), step.out);
+    }
+
+    private static List<Team> known(PMap<String, Team> teams, Stream<String> names) {
+        return names.distinct().map(teams::get).filter(Objects::nonNull).toList();
     }
 
     private static void tickBuckets(Step step) {
-        ShareOwners owners = step.shareOwners();
+        PMap<String, Team> teams = step.policy.policy().teams();
+        List<Team> lent = known(teams, step.quota.buckets().keySet().stream().map(RightId::name));
+        ShareOwners owners = step.shareOwners(lent);
         for (RightId right : step.quota.buckets().keySet()) {
-            Team team = step.policy.policy().teams().get(right.name());
+            Team team = teams.get(right.name());
             boolean lost = step.rules.quota() == QuotaMode.PLACED
                     && owners.ownerOf(right).filter(step.self()::equals).isEmpty();
             if (lost) {
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -122,20 +123,20 @@
         return new SplittableRandom(rules.seed() + steps);
     }
 
-    /** Who lends out shares, as far as this node knows at this moment. */
-    ShareOwners shareOwners() {
+    /** Who lends out the shares of some teams, as far as this node knows at this moment. */
+    ShareOwners shareOwners(Collection<Team> teams) {
         if (rules.quota() == QuotaMode.LEASED) {
             return new LeasedShares(rights, fleet);
         }
         placement = PlacementLogic.follow(placement, fleet, now);
-        for (Team team : policy.policy().teams().values()) {
-            placement = PlacementLogic.place(placement, team, fleet);
+        for (Team team : teams) {
+            placement = PlacementLogic.place(placement, team, rules.quotaSlack(), fleet);
         }
         return new PlacedShares(placement, rights.self(), !CallFlow.isolated(this));
     }
 
-    Borrowing.Context borrowing() {
-        return new Borrowing.Context(shareOwners(), now);
+    Borrowing.Context borrowing(Collection<Team> teams) {
+        return new Borrowing.Context(shareOwners(teams), now);
     }
 
     Rumours rumours() {
--- a/core/src/main/java/org/heatherhaven/core/logic/placement/PlacedShares.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/placement/PlacedShares.java
@@ -40,11 +40,16 @@
         return sharesOf(share.name()).map(shares -> shares.owners().get(share));
     }
 
+    /** Nobody lent the share's tokens since then, so that they have gathered, wherever the first call enters. */
+    private Instant usableSince() {
+        return placement.since().isAfter(placement.lendsFrom()) ? placement.since() : placement.lendsFrom();
+    }
+
     @Override
     public Optional<Leave> leave(RightId share, Instant now) {
         boolean mine = ownerOf(share).filter(self.node()::equals).isPresent();
         return mine && trusted && !now.isBefore(placement.lendsFrom())
-                ? Optional.of(new Leave(TERM, false))
+                ? Optional.of(new Leave(TERM, false, usableSince()))
                 : Optional.empty();
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/placement/PlacementLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/placement/PlacementLogic.java
@@ -15,6 +15,7 @@
 import org.heatherhaven.core.logic.Hashes;
 import org.heatherhaven.core.logic.membership.MembershipState;
 import org.heatherhaven.core.logic.membership.Rings;
+import org.heatherhaven.core.logic.placement.PlacementState.Lender;
 import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.MemberStatus;
 import org.heatherhaven.core.model.NodeId;
@@ -48,6 +49,12 @@
     /** So many owners that the end of one leaves a team most of its rate. */
     private static final int MIN_OWNERS = 3;
 
+    /** Burst below which a team is divided among no more than the fewest owners. */
+    private static final double SMALLEST_SHARE_BURST = 5;
+
+    /** Tokens that a share should hold: with hardly more than one it refuses the second of two calls in a row. */
+    private static final double USABLE_SHARE_BURST = 3;
+
     /** Owners that one node asks for tokens; more would cost messages, and those who have none answer alike. */
     private static final int ASKED_OWNERS = 3;
 
@@ -67,7 +74,7 @@
         }
         PMap<NodeId, Instant> deadSince = HashTreePMap.empty();
         Instant reviewAt = Instant.MAX;
-        List<Member> owners = new ArrayList<>();
+        List<Lender> lenders = new ArrayList<>();
         for (Map.Entry<NodeId, Member> entry : fleet.members().entrySet()) {
             Member member = entry.getValue();
             if (member.status() == MemberStatus.DEAD) {
@@ -80,7 +87,8 @@
                 reviewAt = until.isBefore(reviewAt) ? until : reviewAt;
             }
             if (member.status() != MemberStatus.LEFT) {
-                owners.add(member);
+                lenders.add(
+                        new Lender(member.id(), member.zone(), member.status().gone()));
             }
         }
         Instant lendsFrom = state.lendsFrom();
@@ -89,8 +97,9 @@
             reviewAt = now.isBefore(together) && together.isBefore(reviewAt) ? together : reviewAt;
             lendsFrom = now.isBefore(together) ? lendsFrom : together;
         }
-        return new PlacementState(
-                fleet.members(), deadSince, reviewAt, List.copyOf(owners), HashTreePMap.empty(), lendsFrom);
+        PMap<String, TeamShares> byTeam = lenders.equals(state.lenders()) ? state.byTeam() : HashTreePMap.empty();
+        Instant since = byTeam == state.byTeam() ? state.since() : now;
+        return new PlacementState(fleet.members(), deadSince, reviewAt, List.copyOf(lenders), byTeam, since, lendsFrom);
     }
 
     private static boolean startsTogether(MembershipState fleet) {
@@ -114,40 +123,52 @@
      *
      * @param state the state
      * @param team the team
+     * @param slack calls beyond rate and burst that the operators tolerate, for teams too small to be divided
      * @param fleet the members, with this node
      * @return the state that knows them
      */
-    public static PlacementState place(PlacementState state, Team team, MembershipState fleet) {
+    public static PlacementState place(PlacementState state, Team team, double slack, MembershipState fleet) {
         TeamShares known = state.byTeam().get(team.name());
-        if (known != null && known.team() == team) {
+        if (known != null && known.team().equals(team)) {
             return state;
         }
-        Map<Zone, List<Member>> zones = state.owners().stream()
-                .collect(Collectors.groupingBy(Member::zone, LinkedHashMap::new, Collectors.toList()));
+        return state.withTeam(shares(team, slack, lendersOf(team, state.lenders()), fleet.self()));
+    }
+
+    /** One or more in each zone, or few for a team whose burst is not worth dividing further. */
+    private static Set<Lender> lendersOf(Team team, List<Lender> lenders) {
+        int most = (int) Math.max(MIN_OWNERS, team.burst() / SMALLEST_SHARE_BURST);
+        Map<Zone, List<Lender>> zones =
+                lenders.stream().collect(Collectors.groupingBy(Lender::zone, LinkedHashMap::new, Collectors.toList()));
+        List<Zone> chosenZones = Rings.rendezvous("zone|" + team.name(), zones.keySet(), Zone::toString, most);
         int perZone = (int) Math.max(1, Math.ceil(team.burst() / BURST_PER_OWNER / Math.max(1, zones.size())));
-        Set<Member> chosen = new LinkedHashSet<>();
-        zones.values().forEach(members -> chosen.addAll(rank(team, members, perZone)));
+        Set<Lender> chosen = new LinkedHashSet<>();
+        chosenZones.forEach(zone -> chosen.addAll(rank(team, zones.get(zone), perZone)));
         if (chosen.size() < MIN_OWNERS) {
-            chosen.addAll(rank(team, state.owners(), MIN_OWNERS));
+            chosen.addAll(rank(team, lenders, MIN_OWNERS));
         }
-        return state.withTeam(shares(team, chosen, fleet.self()));
+        return chosen;
     }
 
-    private static List<Member> rank(Team team, List<Member> members, int count) {
-        return Rings.rendezvous("share|" + team.name(), members, count);
+    private static List<Lender> rank(Team team, List<Lender> lenders, int count) {
+        return Rings.rendezvous(
+                "share|" + team.name(), lenders, lender -> lender.id().value(), count);
     }
 
-    private static TeamShares shares(Team team, Set<Member> chosen, Member self) {
+    private static TeamShares shares(Team team, double slack, Set<Lender> chosen, Member self) {
         Map<RightId, NodeId> owners = new HashMap<>();
         chosen.forEach(owner -> owners.put(share(team, owner.id()), owner.id()));
         List<RightId> asked = chosen.stream()
-                .sorted(Comparator.comparingInt((Member owner) -> distance(owner, self))
+                .sorted(Comparator.comparingInt((Lender owner) -> distance(owner, self))
                         .thenComparingLong(owner ->
                                 Hashes.of(self.id().value() + "|" + owner.id().value())))
                 .limit(ASKED_OWNERS)
                 .map(owner -> share(team, owner.id()))
                 .toList();
-        Team divided = new Team(team.name(), team.rate(), team.burst(), Math.max(1, chosen.size()), team.importance());
+        int count = Math.max(1, chosen.size());
+        double usable = Math.min(count * USABLE_SHARE_BURST, team.burst() + slack);
+        double burst = Math.max(team.burst(), usable);
+        Team divided = new Team(team.name(), team.rate(), burst, count, team.importance());
         return new TeamShares(team, divided, asked, Map.copyOf(owners));
     }
 
@@ -156,11 +177,11 @@
     }
 
     /** Its own share first, then those nearby, and last those of members that are gone. */
-    private static int distance(Member owner, Member self) {
+    private static int distance(Lender owner, Member self) {
         if (owner.id().equals(self.id())) {
             return 0;
         }
-        if (owner.status().gone()) {
+        if (owner.gone()) {
             return 3;
         }
         return owner.zone().equals(self.zone()) ? 1 : 2;
--- a/core/src/main/java/org/heatherhaven/core/logic/placement/PlacementState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/placement/PlacementState.java
@@ -5,6 +5,7 @@
 
 import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Zone;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.pcollections.TreePMap;
@@ -15,18 +16,29 @@
  * @param seen the members from which all this was worked out
  * @param deadSince since when members are held for dead
  * @param reviewAt when a dead member loses its shares next; far future if there is none
- * @param owners members that own shares, in order of their addresses
+ * @param lenders members that own shares, in order of their addresses
  * @param byTeam shares of each team
+ * @param since when the members that own shares last changed
  * @param lendsFrom when this process may lend out its own shares
  */
 public record PlacementState(
         TreePMap<NodeId, Member> seen,
         PMap<NodeId, Instant> deadSince,
         Instant reviewAt,
-        List<Member> owners,
+        List<Lender> lenders,
         PMap<String, TeamShares> byTeam,
+        Instant since,
         Instant lendsFrom) {
 
+    /**
+     * What decides about the shares of a member; a change of anything else moves none.
+     *
+     * @param id the member
+     * @param zone its zone
+     * @param gone true if it is held for dead, and keeps its shares only until it can't lend any more
+     */
+    record Lender(NodeId id, Zone zone, boolean gone) {}
+
     /**
      * The state of a process that may have no shares yet.
      *
@@ -35,15 +47,21 @@
      */
     public static PlacementState start(Instant lendsFrom) {
         return new PlacementState(
-                TreePMap.empty(), HashTreePMap.empty(), Instant.MIN, List.of(), HashTreePMap.empty(), lendsFrom);
+                TreePMap.empty(),
+                HashTreePMap.empty(),
+                Instant.MIN,
+                List.of(),
+                HashTreePMap.empty(),
+                lendsFrom,
+                lendsFrom);
     }
 
     PlacementState withTeam(TeamShares shares) {
         return new PlacementState(
-                seen, deadSince, reviewAt, owners, byTeam.plus(shares.team().name(), shares), lendsFrom);
+                seen, deadSince, reviewAt, lenders, byTeam.plus(shares.team().name(), shares), since, lendsFrom);
     }
 
     PlacementState withLendsFrom(Instant at) {
-        return new PlacementState(seen, deadSince, reviewAt, owners, byTeam, at);
+        return new PlacementState(seen, deadSince, reviewAt, lenders, byTeam, since, at);
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/LeasedShares.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/LeasedShares.java
@@ -55,6 +55,6 @@
             return Optional.empty();
         }
         return rights.find(share)
-                .map(held -> new Leave(held.term().orElseThrow(), held.takenBy() == Acquisition.CREATED));
+                .map(held -> new Leave(held.term().orElseThrow(), held.takenBy() == Acquisition.CREATED, now));
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/Lending.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/Lending.java
@@ -84,7 +84,7 @@
             return Bucket.full(leave.term(), team, now);
         }
         // Whoever takes over starts empty: a full bucket would mint a second burst.
-        return Bucket.empty(leave.term(), now);
+        return Bucket.empty(leave.term(), leave.since());
     }
 
     /**
--- a/core/src/main/java/org/heatherhaven/core/logic/quota/ShareOwners.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/quota/ShareOwners.java
@@ -17,8 +17,9 @@
      *
      * @param term counts the owners of the share; a bucket of an earlier term is void
      * @param full true if the bucket may start full, because nobody had it before
+     * @param since since when tokens gather in a bucket that doesn't start full
      */
-    record Leave(long term, boolean full) {}
+    record Leave(long term, boolean full, Instant since) {}
 
     /**
      * This process.
--- a/core/src/test/java/org/heatherhaven/core/proof/Fleets.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/Fleets.java
@@ -50,7 +50,7 @@
                 "10.0.0." + index + ":7000",
                 "zone-" + index % 3,
                 SERVICES.get(index % SERVICES.size()),
-                NodeRules.defaults(seed + index).withLedger(LEDGER).withQuota(fleet.quotaMode()));
+                NodeRules.defaults(seed + index).withLedger(LEDGER).withQuota(fleet.quotaMode(), 0));
     }
 
     static Instant clock(TestNode node, SmallFleet fleet) {
--- /dev/null
+++ b/core/src/test/java/org/heatherhaven/core/size/GossipSizeTest.java
@@ -0,0 +1,81 @@
+package org.heatherhaven.core.size;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.heatherhaven.core.effect.Effect;
+import org.heatherhaven.core.fleet.Faults;
+import org.heatherhaven.core.fleet.SmallFleet;
+import org.heatherhaven.core.fleet.TestNode;
+import org.heatherhaven.core.message.MembersPage;
+import org.heatherhaven.core.message.PeerMessage;
+import org.heatherhaven.core.message.Probe;
+import org.heatherhaven.core.message.ProbeAck;
+import org.heatherhaven.core.model.Team;
+
+/** What nodes tell each other of their members while a whole fleet starts: each one once or twice, mostly nearby. */
+class GossipSizeTest {
+
+    private static final int ZONES = 5;
+    private static final Team ANY = new Team("any", 5, 5, 1);
+
+    /** Accounts of one member that a node may tell to other zones: its news over one ring, and tables compared. */
+    private static final int FAR_ACCOUNTS = 8;
+
+    @Property(tries = 1, seed = "20261204")
+    void aStartOf12NodesTellsOtherZonesLittle(@ForAll @LongRange(min = 0, max = 1_000) long seed) {
+        tellsLittle(seed, 12);
+    }
+
+    @Property(tries = 1, seed = "20261204")
+    void aStartOf30NodesTellsOtherZonesLittle(@ForAll @LongRange(min = 0, max = 1_000) long seed) {
+        tellsLittle(seed, 30);
+    }
+
+    @Property(tries = 1, seed = "20261204")
+    void aStartOf95NodesTellsOtherZonesLittle(@ForAll @LongRange(min = 0, max = 1_000) long seed) {
+        tellsLittle(seed, 95);
+    }
+
+    @Property(tries = 1, seed = "20261204")
+    void aStartOf300NodesTellsOtherZonesLittle(@ForAll @LongRange(min = 0, max = 1_000) long seed) {
+        tellsLittle(seed, 300);
+    }
+
+    private static void tellsLittle(long seed, int nodes) {
+        SmallFleet fleet = new SmallFleet(seed, Faults.NONE);
+        long[] far = {0};
+        fleet.onSend((from, send) -> far[0] += crossesZones(fleet, from, send) ? accounts(send.message()) : 0);
+        SizedFleet.started(fleet, seed, nodes, ZONES, ANY, 0);
+        for (TestNode node : fleet.nodes()) {
+            int known = node.state().fleet().members().size();
+            if (known != nodes) {
+                throw new AssertionError(node.id() + " knows " + known + " of " + nodes + " members");
+            }
+        }
+        long each = far[0] / nodes;
+        if (each > (long) FAR_ACCOUNTS * nodes) {
+            throw new AssertionError("each of " + nodes + " nodes told other zones " + each + " accounts of members");
+        }
+    }
+
+    private static boolean crossesZones(SmallFleet fleet, TestNode from, Effect.Send send) {
+        return fleet.nodes().stream()
+                .filter(node -> node.id().equals(send.to()))
+                .anyMatch(node -> !node.state()
+                        .fleet()
+                        .self()
+                        .zone()
+                        .equals(from.state().fleet().self().zone()));
+    }
+
+    private static int accounts(PeerMessage message) {
+        if (message instanceof Probe probe) {
+            return 1 + probe.rumours().members().size();
+        }
+        if (message instanceof ProbeAck ack) {
+            return 1 + ack.rumours().members().size();
+        }
+        return message instanceof MembersPage page ? page.members().size() : 0;
+    }
+}
