Repeats are let in by the nodes of the service that they reach, each within its part of the budget

Change: an attempt says whether a target was reached before (AttemptKind). The node of the target lets such a repeat in only if its part of ratio, slack and window covers it (RepeatAllowance): half for repeats at the service, half for the trees that repeats start, which the admitting node pays by its learned calls a run. Only callers' own first calls earn; a new process has nothing; half of a part may be saved up. Refused repeats have a reason of their own, repeat-limit. Weighed: a part for each entry node (a fraction of one repeat at 95 nodes, so none at all or too many); few nodes that hold the slack for all (a round trip, and one more thing to lose). Left open: a node that knows too few of its peers takes too large a part until it hears of them. RetryBudgetTest as before.

--- a/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/GuardLogic.java
@@ -54,7 +54,7 @@
                 key, head, Waiting.cohortOf(head.rootId()), now, now.plusMillis(Math.max(0, head.remainingMillis())));
         ClassKey classKey = classOf(head);
         GuardState next = state.withDemand(state.demand().arrived(classKey))
-                .withGauge(head.repeat() ? state.gauge() : state.gauge().arrived());
+                .withGauge(head.kind().first() ? state.gauge().arrived() : state.gauge());
         if (!now.isBefore(state.refuseFrom())) {
             return refuse(next, call, Reason.DRAINING, "the node of the target is leaving", out);
         }
--- a/core/src/main/java/org/heatherhaven/core/logic/call/EntryCall.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/call/EntryCall.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.Optional;
 
+import org.heatherhaven.core.model.AttemptKind;
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.Signal;
 import org.pcollections.HashTreePSet;
@@ -21,6 +22,7 @@
  * @param keep fewest cohorts reported, of {@link Signal#COHORTS}
  * @param askAt when the permit is asked for again
  * @param permitted true once a permit was won
+ * @param reached true once an attempt reached a target, whether or not it ran
  * @param mayHaveRun true once an attempt ended without proof that it did not run
  */
 public record EntryCall(
@@ -34,6 +36,7 @@
         int keep,
         Instant askAt,
         boolean permitted,
+        boolean reached,
         boolean mayHaveRun) {
 
     /** What a call waits for. */
@@ -55,16 +58,18 @@
                 Signal.COHORTS,
                 Instant.MIN,
                 false,
+                false,
                 false);
     }
 
     public EntryCall withStage(Stage next, Instant askAgainAt) {
         return new EntryCall(
-                info, next, retries, lent, attempt, target, tried, keep, askAgainAt, permitted, mayHaveRun);
+                info, next, retries, lent, attempt, target, tried, keep, askAgainAt, permitted, reached, mayHaveRun);
     }
 
     public EntryCall withPermit() {
-        return new EntryCall(info, stage, retries, lent, attempt, target, tried, keep, askAt, true, mayHaveRun);
+        return new EntryCall(
+                info, stage, retries, lent, attempt, target, tried, keep, askAt, true, reached, mayHaveRun);
     }
 
     public EntryCall sent(NodeId node, int handedDown) {
@@ -79,9 +84,18 @@
                 keep,
                 askAt,
                 permitted,
+                reached,
                 mayHaveRun);
     }
 
+    /** What the present attempt is to the service. */
+    public AttemptKind kind() {
+        if (reached) {
+            return AttemptKind.REPEAT;
+        }
+        return attempt > 1 ? AttemptKind.REROUTED : AttemptKind.FIRST;
+    }
+
     /** Takes back what an attempt left of its part of the budget, never more than it got. */
     public EntryCall cameBack(int unspent, int kept) {
         int back = Math.max(0, Math.min(lent, unspent));
@@ -96,16 +110,18 @@
                 Math.min(keep, kept),
                 askAt,
                 permitted,
+                reached,
                 mayHaveRun);
     }
 
+    /** Pays for another attempt after one that reached a target. */
     public EntryCall paidForRetry() {
         return new EntryCall(
-                info, stage, retries - 1, lent, attempt, target, tried, keep, askAt, permitted, mayHaveRun);
+                info, stage, retries - 1, lent, attempt, target, tried, keep, askAt, permitted, true, mayHaveRun);
     }
 
     /** Remembers that an attempt may have run, whatever becomes of those that follow. */
     public EntryCall uncertain() {
-        return new EntryCall(info, stage, retries, lent, attempt, target, tried, keep, askAt, permitted, true);
+        return new EntryCall(info, stage, retries, lent, attempt, target, tried, keep, askAt, permitted, reached, true);
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -44,9 +44,6 @@
         int lent = step.rules.retry().lendToAttempt(call.retries());
         EntryCall sent = call.sent(target.get(), lent);
         step.calls = step.calls.with(sent);
-        if (sent.attempt() == 1) {
-            step.calls = step.calls.withRatio(step.calls.ratio().called(info.service(), step.rules.retryLimits()));
-        }
         step.routing = RoutingLogic.sent(step.routing, target.get(), step.now);
         step.out.add(new Effect.ForwardCall(info.call(), sent.attempt(), target.get(), head(step, sent)));
     }
@@ -71,7 +68,7 @@
                 info.route().limits().aim().toMillis(),
                 call.lent(),
                 info.unrepeatable(),
-                call.attempt() > 1,
+                call.kind(),
                 info.policyVersion());
     }
 
@@ -119,7 +116,6 @@
                 refusal.outcome() != Outcome.NOT_RUN || refusal.reason().fromTarget();
         boolean budgeted = reached
                 ? step.rules.retry().allows(call.attempt(), call.retries())
-                        && step.calls.ratio().allows(service, step.rules.retryLimits())
                 : call.tried().size() < MAX_TURNED_BACK
                         && RoutingLogic.hasRoom(step.routing, step.fleet, service, call.tried(), step.now);
         if (!sensible || !budgeted) {
@@ -137,7 +133,6 @@
             send(step, call);
             return;
         }
-        step.calls = step.calls.withRatio(step.calls.ratio().retried(service, step.rules.retryLimits()));
         send(step, call.paidForRetry());
     }
 
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
@@ -131,7 +131,9 @@
         if (step.thawing || offer.key().link() < step.linkFloor) {
             return;
         }
-        step.guard = GuardLogic.offered(step.guard, offer.key(), offer.head(), step.now, step.out);
+        if (Repeats.admits(step, offer)) {
+            step.guard = GuardLogic.offered(step.guard, offer.key(), offer.head(), step.now, step.out);
+        }
     }
 
     private static void onTargetEnded(Step step, TargetEnded ended) {
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
@@ -16,6 +16,7 @@
 import org.heatherhaven.core.logic.pressure.RoutePressure;
 import org.heatherhaven.core.logic.quota.QuotaState;
 import org.heatherhaven.core.logic.registration.RegistrationState;
+import org.heatherhaven.core.logic.retry.RepeatAllowance;
 import org.heatherhaven.core.logic.rights.RightsState;
 import org.heatherhaven.core.logic.routing.RoutingState;
 import org.heatherhaven.core.model.Member;
@@ -37,6 +38,7 @@
  * @param guard calls at the node's own target
  * @param registration what the target said of itself
  * @param calls calls that entered here
+ * @param repeats repeats that may be let in to the target
  * @param rights exclusive rights
  * @param quota tokens lent and borrowed
  * @param placement the members that own shares of rates
@@ -60,6 +62,7 @@
         GuardState guard,
         RegistrationState registration,
         CallsState calls,
+        RepeatAllowance repeats,
         RightsState rights,
         QuotaState quota,
         PlacementState placement,
@@ -106,6 +109,7 @@
                 target.map(ref -> GuardLogic.targetIs(guard, ref, self.slots())).orElse(guard),
                 RegistrationState.NONE,
                 CallsState.EMPTY,
+                RepeatAllowance.start(now),
                 RightsState.start(self.owner(), now),
                 QuotaState.start(now),
                 PlacementState.start(now.plus(PlacementLogic.SETTLE)),
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Step.java
@@ -26,6 +26,7 @@
 import org.heatherhaven.core.logic.quota.QuotaState;
 import org.heatherhaven.core.logic.quota.ShareOwners;
 import org.heatherhaven.core.logic.registration.RegistrationState;
+import org.heatherhaven.core.logic.retry.RepeatAllowance;
 import org.heatherhaven.core.logic.rights.RightsState;
 import org.heatherhaven.core.logic.routing.RoutingState;
 import org.heatherhaven.core.message.Rumours;
@@ -50,6 +51,7 @@
     GuardState guard;
     RegistrationState registration;
     CallsState calls;
+    RepeatAllowance repeats;
     RightsState rights;
     QuotaState quota;
     PlacementState placement;
@@ -73,6 +75,7 @@
         this.guard = state.guard();
         this.registration = state.registration();
         this.calls = state.calls();
+        this.repeats = state.repeats();
         this.rights = state.rights();
         this.quota = state.quota();
         this.placement = state.placement();
@@ -97,6 +100,7 @@
                 guard,
                 registration,
                 calls,
+                repeats,
                 rights,
                 quota,
                 placement,
--- a/core/src/main/java/org/heatherhaven/core/logic/pressure/ReturnTime.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/pressure/ReturnTime.java
@@ -31,7 +31,13 @@
      */
     public static Duration after(Reason reason, int pressure, double point) {
         return switch (reason) {
-            case QUEUE_FULL, TOO_LATE, SHED_AT_ENTRY, SHED_AT_TARGET, TARGET_OVERLOADED, NODE_OVERLOADED ->
+            case QUEUE_FULL,
+                    TOO_LATE,
+                    SHED_AT_ENTRY,
+                    SHED_AT_TARGET,
+                    TARGET_OVERLOADED,
+                    NODE_OVERLOADED,
+                    REPEAT_LIMIT ->
                 QUEUE_DRAINS
                         .plus(part(SPREAD_OF_A_PEAK, point))
                         .plus(part(SPREAD_OF_AN_OVERLOAD, point * pressure / RoutePressure.FULL));
--- a/core/src/main/java/org/heatherhaven/core/logic/retry/RetryLimits.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/retry/RetryLimits.java
@@ -1,13 +1,16 @@
 package org.heatherhaven.core.logic.retry;
 
+import java.time.Duration;
+
 /**
- * One node's part of a service's retry budget.
+ * How many repeated arrivals the operators tolerate at each service, over the whole fleet.
  *
- * @param earnedPerCall retries that a first attempt earns
- * @param credit retries that may be saved up, and that a node starts with
+ * @param ratio repeats for each call of a caller within the window
+ * @param slack repeats beyond that within the window
+ * @param window length of the window
  */
-public record RetryLimits(double earnedPerCall, double credit) {
+public record RetryLimits(double ratio, double slack, Duration window) {
 
-    /** Limits that suit a fleet of any size. */
-    public static final RetryLimits DEFAULT = new RetryLimits(0.1, 5);
+    /** Limits that suit a service of a few targets. */
+    public static final RetryLimits DEFAULT = new RetryLimits(0.1, 50, Duration.ofSeconds(10));
 }
--- a/core/src/main/java/org/heatherhaven/core/model/CallHead.java
+++ b/core/src/main/java/org/heatherhaven/core/model/CallHead.java
@@ -22,7 +22,7 @@
  * @param aimMillis time from its arrival within which an answer is worth the most, milliseconds
  * @param retries part of the retry budget handed down with the call
  * @param unrepeatable true if the call must run at most once
- * @param repeat true if another target was tried before
+ * @param kind whether nodes or targets were tried before
  * @param policyVersion version that admitted the root request
  */
 public record CallHead(
@@ -43,5 +43,5 @@
         long aimMillis,
         int retries,
         boolean unrepeatable,
-        boolean repeat,
+        AttemptKind kind,
         long policyVersion) {}
--- a/core/src/main/java/org/heatherhaven/core/model/Reason.java
+++ b/core/src/main/java/org/heatherhaven/core/model/Reason.java
@@ -25,6 +25,7 @@
     POLICY_STALE(503, false),
     POLICY_UNKNOWN(503, false),
     NODE_OVERLOADED(503, false),
+    REPEAT_LIMIT(503, false),
     TARGET_OVERLOADED(503, true),
     TARGET_REPLACED(503, true),
     TARGET_FAILED(502, true),
--- a/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
+++ b/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
@@ -17,6 +17,7 @@
 import org.heatherhaven.core.effect.Outbox;
 import org.heatherhaven.core.event.OfferKey;
 import org.heatherhaven.core.event.TrafficEvent.TargetResult;
+import org.heatherhaven.core.model.AttemptKind;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Importance;
 import org.heatherhaven.core.model.Reason;
@@ -47,7 +48,7 @@
                 remainingMillis,
                 0,
                 false,
-                false,
+                AttemptKind.FIRST,
                 1);
     }
 
--- a/core/src/test/java/org/heatherhaven/core/logic/admission/LeavingTargetTest.java
+++ b/core/src/test/java/org/heatherhaven/core/logic/admission/LeavingTargetTest.java
@@ -8,6 +8,7 @@
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Outbox;
 import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.model.AttemptKind;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Importance;
 import org.heatherhaven.core.model.Outcome;
@@ -39,7 +40,7 @@
                 1_000,
                 0,
                 false,
-                false,
+                AttemptKind.FIRST,
                 1);
     }
 
--- a/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
@@ -153,8 +153,9 @@
         TomlTable retries = root.table("retries");
         RetryLimits defaults = RetryLimits.DEFAULT;
         return new RetryLimits(
-                retries.decimal("earned_per_call", 0, 1, defaults.earnedPerCall()),
-                retries.decimal("credit", 0, MAX_COUNT, defaults.credit()));
+                retries.decimal("ratio", 0, 1, defaults.ratio()),
+                retries.decimal("slack", 0, MAX_COUNT, defaults.slack()),
+                millis(retries, "window_ms", defaults.window().toMillis()));
     }
 
     private static KeyTrust keyTrust(TomlTable root) {
--- a/node/src/main/java/org/heatherhaven/node/wire/CallCodec.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/CallCodec.java
@@ -11,6 +11,7 @@
 import io.netty.util.concurrent.FastThreadLocal;
 import org.heatherhaven.core.message.LoanAsk;
 import org.heatherhaven.core.message.LoanGrant;
+import org.heatherhaven.core.model.AttemptKind;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
 import org.heatherhaven.core.model.Importance;
@@ -39,6 +40,7 @@
     private static final String OWN_ROOT = "";
 
     private static final Importance[] IMPORTANCES = Importance.values();
+    private static final AttemptKind[] ATTEMPT_KINDS = AttemptKind.values();
     private static final Reason[] REASONS = Reason.values();
     private static final Outcome[] OUTCOMES = Outcome.values();
     private static final RightId.Kind[] KINDS = RightId.Kind.values();
@@ -119,7 +121,7 @@
         packer.packLong(call.aimMillis());
         packer.packInt(call.retries());
         packer.packBoolean(call.unrepeatable());
-        packer.packBoolean(call.repeat());
+        packer.packInt(call.kind().ordinal());
         packer.packLong(call.policyVersion());
         packer.packBoolean(offer.hasBody());
     }
@@ -145,7 +147,7 @@
                 unpacker.unpackLong(),
                 unpacker.unpackInt(),
                 unpacker.unpackBoolean(),
-                unpacker.unpackBoolean(),
+                constant(ATTEMPT_KINDS, unpacker),
                 unpacker.unpackLong());
         return new OfferHead(call, unpacker.unpackBoolean());
     }
--- a/node/src/test/java/org/heatherhaven/node/target/TargetConnectionsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/TargetConnectionsTest.java
@@ -16,6 +16,7 @@
 import org.heatherhaven.core.effect.Effect.RunOffer;
 import org.heatherhaven.core.event.OfferKey;
 import org.heatherhaven.core.event.TrafficEvent.TargetResult;
+import org.heatherhaven.core.model.AttemptKind;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
 import org.heatherhaven.core.model.Importance;
@@ -97,7 +98,7 @@
                 200,
                 0,
                 unrepeatable,
-                false,
+                AttemptKind.FIRST,
                 1);
         RunOffer order = new RunOffer(new OfferKey(1, 1), new TargetRef("i", target.address()), "c", TIMEOUT);
         connections.send(head, false, order, listener);
--- a/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
+++ b/node/src/test/java/org/heatherhaven/node/wire/FrameCodecTest.java
@@ -18,6 +18,7 @@
 import org.heatherhaven.core.message.PolicyPage;
 import org.heatherhaven.core.message.Probe;
 import org.heatherhaven.core.message.Rumours;
+import org.heatherhaven.core.model.AttemptKind;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
 import org.heatherhaven.core.model.Importance;
@@ -111,7 +112,7 @@
                 300,
                 2,
                 false,
-                false,
+                AttemptKind.FIRST,
                 12);
         expect(new OfferHead(head, true), roundTrip(FrameType.OFFER, new OfferHead(head, true)));
     }
--- a/standin/src/main/java/org/heatherhaven/standin/measure/Slopes.java
+++ b/standin/src/main/java/org/heatherhaven/standin/measure/Slopes.java
@@ -26,6 +26,7 @@
 import org.heatherhaven.core.message.ProbeAck;
 import org.heatherhaven.core.message.PromiseAsk;
 import org.heatherhaven.core.message.Rumours;
+import org.heatherhaven.core.model.AttemptKind;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Importance;
 import org.heatherhaven.core.model.KeyGrant;
@@ -289,7 +290,7 @@
                 1_000,
                 1,
                 false,
-                false,
+                AttemptKind.FIRST,
                 1);
         long began = System.nanoTime();
         for (int i = 1; i <= CALLS; i++) {
