Keys, planned stops, retries and rates follow from the bounds that the machine gives

Cause: the template held figures of one deployment (4.3 s of trust, 3 and 5.1 s for a stop, 0.08 and 3 for retries, 2500 connections), which are wrong where the bounds differ: large gives 10 s to stop.

--- a/cli/src/main/java/org/heatherhaven/cli/run/NodeCommand.java
+++ b/cli/src/main/java/org/heatherhaven/cli/run/NodeCommand.java
@@ -44,7 +44,7 @@
         Logging.configure(logFormat);
         TomlTable file = TomlTable.read(settingsPath());
         Optional<Integration.Factory> integration = adapter().map(adapter -> adapter.read(file));
-        NodeSettings settings = NodeSettingsReader.read(file);
+        NodeSettings settings = settings(file);
         NodeDaemon node =
                 integration.map(factory -> new NodeDaemon(settings, factory)).orElseGet(() -> new NodeDaemon(settings));
         AtomicBoolean stopping = new AtomicBoolean();
@@ -67,7 +67,12 @@
     private void reload(NodeDaemon node) {
         TomlTable file = TomlTable.read(settingsPath());
         adapter().ifPresent(adapter -> adapter.read(file));
-        node.reload(NodeSettingsReader.read(file));
+        node.reload(settings(file));
+    }
+
+    private NodeSettings settings(TomlTable file) {
+        NodeSettings own = NodeSettingsReader.read(file);
+        return adapter().map(adapter -> adapter.adapt(file, own)).orElse(own);
     }
 
     private Path settingsPath() {
--- a/node/src/main/java/org/heatherhaven/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettings.java
@@ -53,6 +53,35 @@
         Optional<TlsFiles> tls,
         NodeRules rules) {
 
+    /**
+     * Copies these settings with other bounds and rules.
+     *
+     * @param nextEntry bounds of what a caller may send
+     * @param nextRules settings of the decisions
+     * @return the changed settings
+     */
+    public NodeSettings with(EntrySettings nextEntry, NodeRules nextRules) {
+        return new NodeSettings(
+                zone,
+                callers,
+                targetCalls,
+                peers,
+                operators,
+                operatorToken,
+                target,
+                platformUrl,
+                platformTimeout,
+                secrets,
+                nextEntry,
+                maxFrameBytes,
+                mailboxCapacity,
+                threads,
+                sharedThreads,
+                coalescing,
+                tls,
+                nextRules);
+    }
+
     /**
      * Files of TLS, in PEM.
      *
