--- a/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
@@ -31,8 +31,8 @@
 /** What follows from new policy versions, and the duties that a few nodes carry for all. */
 final class Spreading {
 
-    /** Members of each zone that watch the platform. */
-    private static final int WATCHERS_PER_ZONE = 2;
+    /** Members of the whole fleet that watch the platform at least, so that the loss of some is not felt. */
+    private static final int WATCHERS = 4;
 
     private static final Duration REVIEW_INTERVAL = Duration.ofSeconds(1);
 
@@ -85,7 +85,13 @@
         List<Member> zone = step.fleet.members().values().stream()
                 .filter(member -> member.zone().equals(home) && !member.status().gone())
                 .toList();
-        boolean watcher = Rings.rendezvous("watch|" + home, zone, WATCHERS_PER_ZONE).stream()
+        long zones = step.fleet.members().values().stream()
+                .filter(member -> !member.status().gone())
+                .map(Member::zone)
+                .distinct()
+                .count();
+        int watchers = (int) Math.ceil((double) WATCHERS / Math.max(1, zones));
+        boolean watcher = Rings.rendezvous("watch|" + home, zone, watchers).stream()
                 .anyMatch(member -> member.id().equals(step.self()));
         step.duties = new Duties(watcher, step.now.plus(REVIEW_INTERVAL));
         step.routing = RoutingLogic.prune(step.routing, step.fleet);
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyLogic.java
@@ -36,9 +36,16 @@
     private static final Duration COMMIT_RETRY = Duration.ofMillis(500);
     private static final Duration PULL_PAUSE = Duration.ofMillis(250);
     private static final Duration READ_RETRY = Duration.ofSeconds(1);
+
+    /** Between two reads while there is no policy yet; whoever finds the first one tells the others. */
+    private static final Duration FIRST_READ_PAUSE = Duration.ofMillis(800);
+
     /** Without news of the watchers for this long a node asks the platform itself. */
     private static final Duration STALE_AFTER = Duration.ofMillis(2_500);
 
+    /** Who does not watch the platform for others waits so long for their word before it asks. */
+    private static final Duration PEERS_TELL = Duration.ofMillis(1_000);
+
     private static final int PAGE_VERSIONS = 32;
 
     private PolicyLogic() {}
@@ -115,7 +122,9 @@
      */
     public static PolicyState read(PolicyState state, PolicyRead read, Instant now, Outbox out) {
         PolicyState next = absorb(state, read.snapshot(), read.versions(), out);
-        return next.withConfirmed(now.minusMillis(read.askedAgoMillis())).withRead(now, false);
+        boolean unknown = next.policy().version() == 0;
+        Instant again = unknown ? now.plus(FIRST_READ_PAUSE) : now;
+        return next.withConfirmed(now.minusMillis(read.askedAgoMillis())).withRead(again, false);
     }
 
     /**
@@ -209,7 +218,8 @@
         PolicyState next = state;
         boolean stale = Duration.between(state.confirmedAt(), now).compareTo(STALE_AFTER) > 0;
         boolean unknown = state.policy().version() == 0;
-        if ((watcher || stale || unknown) && !state.reading() && !now.isBefore(state.readAt())) {
+        Instant due = watcher ? state.readAt() : state.readAt().plus(PEERS_TELL);
+        if ((watcher || stale || unknown) && !state.reading() && !now.isBefore(due)) {
             out.add(new Effect.ReadPolicy(state.policy().version()));
             next = next.withRead(now, true);
         }
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyState.java
@@ -28,6 +28,9 @@
         Instant readAt,
         boolean reading) {
 
+    /** Age of the platform's word at the start of a process, which has not had any. */
+    private static final Duration UNCONFIRMED = Duration.ofHours(1);
+
     /**
      * The state of a node that knows nothing.
      *
@@ -35,7 +38,8 @@
      * @return the state
      */
     public static PolicyState start(Instant now) {
-        return new PolicyState(Policy.EMPTY, TreePVector.empty(), now, Optional.empty(), now, now, false);
+        Instant unconfirmed = now.minus(UNCONFIRMED);
+        return new PolicyState(Policy.EMPTY, TreePVector.empty(), unconfirmed, Optional.empty(), now, now, false);
     }
 
     PolicyState withPolicy(Policy next, PVector<PolicyVersion> versions) {
