Answers without end are given up at once; an interim answer no longer ends a call

Three places failed on our real sockets: interim answers (1xx), of which even one ended the call as answered though no answer had come, because the decoder ends each head like a whole answer; the body of a refusal, which hid the proof that nothing ran until the timeout made the outcome unknown; an answer to another call, read until the timeout. Heads without end failed at once already. Change: an interim answer is passed over whole, 16 at most; of bytes that nobody wants 64 KiB are read, then the call ends with what is known and its connection is closed. Tests: TargetConnectionsTest, four of the new five failed before.

--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
@@ -30,6 +30,9 @@
 
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
 
+    /** Interim answers to one call; a target that sends more sends them without end. */
+    private static final int MAX_INTERIMS = 16;
+
     private final TargetRef target;
     private final TargetConnections pool;
     private final InstantSource clock;
@@ -38,6 +41,8 @@
     private Duration idleLimit = DEFAULT_IDLE_LIMIT;
     private Instant idleSince = Instant.MIN;
     private boolean closes;
+    private boolean interim;
+    private int interims;
 
     TargetConnection(TargetRef target, TargetConnections pool, InstantSource clock) {
         this.target = target;
@@ -58,6 +63,7 @@
 
     void start(TargetExchange exchange) {
         current = Optional.of(exchange);
+        interims = 0;
         exchange.started(this);
     }
 
@@ -119,12 +125,19 @@
             return;
         }
         if (object instanceof HttpResponse response) {
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            if (interim) {
+                countInterim(exchange);
                 return;
             }
             readKeepAlive(response);
             exchange.received(response);
         }
+        if (interim) {
+            // The decoder ends an interim answer like any other, without it being the answer.
+            ReferenceCountUtil.release(message);
+            return;
+        }
         if (object instanceof HttpContent content) {
             boolean last = object instanceof LastHttpContent;
             exchange.received(content.content());
@@ -134,6 +147,13 @@
         }
     }
 
+    private void countInterim(TargetExchange exchange) {
+        interims++;
+        if (interims > MAX_INTERIMS) {
+            exchange.broken();
+        }
+    }
+
     private void readKeepAlive(HttpResponse response) {
         HttpHeaders headers = response.headers();
         closes |= !HttpUtil.isKeepAlive(response);
--- a/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
@@ -32,6 +32,9 @@
 /** One call at the target, from its request to the end of its answer. Its fields belong to one event loop. */
 public final class TargetExchange {
 
+    /** Bytes of an answer that nobody wants; beyond these the connection is not worth keeping. */
+    private static final int MAX_SKIPPED_BYTES = 64 * 1024;
+
     private final EventLoop loop;
     private final CallDialect dialect;
     private final CallHead head;
@@ -45,6 +48,7 @@
     private boolean requestSent;
     private boolean wantsReading = true;
     private boolean skipping;
+    private int skipped;
     private boolean spoiled;
     private Optional<TargetResult> refusal = Optional.empty();
     private boolean over;
@@ -190,13 +194,25 @@
     }
 
     void received(ByteBuf data) {
-        if (over || skipping || refusal.isPresent() || !data.isReadable()) {
+        if (over || !data.isReadable()) {
             data.release();
             return;
         }
+        if (skipping || refusal.isPresent()) {
+            skip(data);
+            return;
+        }
         listener.received(data);
     }
 
+    private void skip(ByteBuf data) {
+        skipped += data.readableBytes();
+        data.release();
+        if (skipped > MAX_SKIPPED_BYTES) {
+            end(skipping ? TargetResult.FAILED : refusal.orElseThrow(), false);
+        }
+    }
+
     /** The end of an answer was received; the answer to this call may still follow one to another. */
     void receivedLast() {
         if (skipping) {
--- a/node/src/test/java/org/heatherhaven/node/target/ScriptedTarget.java
+++ b/node/src/test/java/org/heatherhaven/node/target/ScriptedTarget.java
@@ -17,6 +17,9 @@
     /** Ends a script: the connection is closed in order. */
     static final String CLOSE = "CLOSE";
 
+    /** Ends a script: the bytes after it are sent again and again until the caller closes. */
+    static final String ENDLESS = "ENDLESS";
+
     /** Ends a script: the connection is reset. */
     static final String RESET = "RESET";
 
@@ -72,9 +75,13 @@
             OutputStream out = socket.getOutputStream();
             for (String answer : script) {
                 requests.add(readHead(in));
-                String bytes = answer.replace(CLOSE, "").replace(RESET, "");
+                String[] parts = answer.split(ENDLESS);
+                String bytes = parts[0].replace(CLOSE, "").replace(RESET, "");
                 out.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
                 out.flush();
+                while (parts.length > 1) {
+                    out.write(parts[1].getBytes(StandardCharsets.ISO_8859_1));
+                }
                 if (answer.endsWith(RESET)) {
                     socket.setSoLinger(true, 0);
                     return;
--- a/node/src/test/java/org/heatherhaven/node/target/TargetConnectionsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/TargetConnectionsTest.java
@@ -187,4 +187,45 @@
         target.close();
         expect(TargetResult.NOT_SENT, call(target, "a", true).result());
     }
+
+    @Example
+    void anInterimAnswerIsNotTheAnswer() throws IOException {
+        String interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+        try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(interim + answer("a", "one"))))) {
+            expect(new Outcome(TargetResult.ANSWERED, 200, "one"), call(target, "a", true));
+        }
+    }
+
+    @Example
+    void interimAnswersWithoutEndFailTheCallAtOnce() throws IOException {
+        failsAtOnce(
+                TargetResult.FAILED,
+                "HTTP/1.1 102 Processing\r\n\r\n" + ScriptedTarget.ENDLESS + "HTTP/1.1 102 Processing\r\n\r\n");
+    }
+
+    @Example
+    void aHeadWithoutEndFailsTheCallAtOnce() throws IOException {
+        failsAtOnce(TargetResult.FAILED, "HTTP/1.1 200 OK\r\n" + ScriptedTarget.ENDLESS + "X-Again: and again\r\n");
+        failsAtOnce(TargetResult.FAILED, "HTTP/1.1 200 " + ScriptedTarget.ENDLESS + "OK and still OK ");
+        failsAtOnce(TargetResult.FAILED, "what" + ScriptedTarget.ENDLESS + " is this?\r\n\r\n");
+    }
+
+    @Example
+    void aRefusalWhoseBodyHasNoEndIsTakenAtItsWordAndItsConnectionClosed() throws IOException {
+        failsAtOnce(TargetResult.REFUSED, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\n" + ScriptedTarget.ENDLESS + "busy ");
+    }
+
+    @Example
+    void anAnswerToAnotherCallWithoutEndFailsTheCallAtOnce() throws IOException {
+        failsAtOnce(TargetResult.FAILED, "HTTP/1.1 200 OK\r\nId: old\r\n\r\n" + ScriptedTarget.ENDLESS + "stale ");
+    }
+
+    /** Not by its timeout, and the next call finds a connection of its own. */
+    private void failsAtOnce(TargetResult expected, String script) throws IOException {
+        try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(script), List.of(answer("b", "two"))))) {
+            expect(expected, call(target, "a", true).result());
+            expect(new Outcome(TargetResult.ANSWERED, 200, "two"), call(target, "b", false));
+            expect(2, target.connections());
+        }
+    }
 }
