Other zones are told news once; everyone probes a watcher; a whole policy is fetched nearby

The platform's word went from node to node by one probe a second, so that most of a zone held it for stale and read. Change: the far neighbour gets a piece of news in its first round only, and no probe in rounds without; one neighbour of each node is a watcher of its zone, one watcher for 64 members; a newer policy is asked for in another zone only if nobody nearby has told of it for 0.7 s; tables that differ are compared both ways; STALE_AFTER is 3 s. Failed on the way: two members of a zone alone passing news on to other zones. With 95 nodes 2 to 4 members were unknown after 10 s, with 16 nodes and 30% of messages lost one after 15 s, also with pages told on as news. Tests: GossipSizeTest (5 accounts of a member in place of 8), MembershipTest, all of core green.

--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
@@ -92,14 +92,26 @@
                     Rings.successors(state.self(), state.members().values()));
         }
         Rumours told = withNews(next, rumours);
+        Rumours fresh = withNews(next, rumours, ROUNDS_TOLD);
+        boolean full =
+                !now.isBefore(state.nextFullRoundAt()) || !fresh.members().isEmpty();
         for (NodeId neighbour : next.neighbours()) {
-            next = probe(next, neighbour, told, now, out);
+            boolean near = near(next, neighbour);
+            if (near || full) {
+                next = probe(next, neighbour, near ? told : fresh, now, out);
+            }
         }
         next = next.neighbours().isEmpty()
                 ? next
                 : newsTold(next, told.members().size());
         Duration interval = next.news().isEmpty() ? PROBE_INTERVAL : NEWS_INTERVAL;
-        return next.withNextProbeAt(now.plus(interval));
+        return next.withNextProbeAt(now.plus(interval), full ? now.plus(PROBE_INTERVAL) : state.nextFullRoundAt());
+    }
+
+    private static boolean near(MembershipState state, NodeId other) {
+        return state.find(other)
+                .filter(member -> member.zone().equals(state.self().zone()))
+                .isPresent();
     }
 
     private static MembershipState probe(MembershipState state, NodeId target, Rumours told, Instant now, Outbox out) {
@@ -284,6 +296,10 @@
             page.add(member);
         }
         out.add(new Effect.Send(pull.from().id(), new MembersPage(state.self().id(), page, more)));
+        if (pull.digest() != NO_DIGEST) {
+            // The tables differ, and the other may hold what is missing here.
+            out.add(new Effect.Send(pull.from().id(), new MembersPull(next.self(), "", false, NO_DIGEST)));
+        }
         return next;
     }
 
@@ -477,8 +493,14 @@
     }
 
     private static Rumours withNews(MembershipState state, Rumours rumours) {
+        return withNews(state, rumours, 1);
+    }
+
+    /** The oldest news, of them only those that are still to be told so often. */
+    private static Rumours withNews(MembershipState state, Rumours rumours, int rounds) {
         List<Member> members = state.news().stream()
                 .limit(MAX_NEWS_PER_MESSAGE)
+                .filter(news -> news.sends() >= rounds)
                 .map(News::member)
                 .toList();
         return new Rumours(members, rumours.policyVersion(), rumours.confirmedAgoMillis());
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipState.java
@@ -26,6 +26,7 @@
  * @param suspects when a suspect is declared dead
  * @param nextSeq number of the next probe
  * @param nextProbeAt when neighbours are probed next
+ * @param nextFullRoundAt when neighbours are probed again that get no news from here
  * @param nextRejoinAt when a dead member is tried next
  * @param heardAt when a peer or the platform was last heard
  */
@@ -40,6 +41,7 @@
         PMap<NodeId, Instant> suspects,
         long nextSeq,
         Instant nextProbeAt,
+        Instant nextFullRoundAt,
         Instant nextRejoinAt,
         Instant heardAt) {
 
@@ -63,6 +65,7 @@
                 1,
                 now,
                 now,
+                now,
                 now);
         return empty.withMember(self);
     }
@@ -123,6 +126,7 @@
                 member.status() == MemberStatus.SUSPECT ? suspects : suspects.minus(member.id()),
                 nextSeq,
                 nextProbeAt,
+                nextFullRoundAt,
                 nextRejoinAt,
                 heardAt);
     }
@@ -139,6 +143,7 @@
                 suspects,
                 nextSeq,
                 nextProbeAt,
+                nextFullRoundAt,
                 nextRejoinAt,
                 heardAt);
     }
@@ -155,6 +160,7 @@
                 suspects,
                 nextSeq,
                 nextProbeAt,
+                nextFullRoundAt,
                 nextRejoinAt,
                 heardAt);
     }
@@ -171,6 +177,7 @@
                 suspects,
                 seq,
                 nextProbeAt,
+                nextFullRoundAt,
                 nextRejoinAt,
                 heardAt);
     }
@@ -187,11 +194,12 @@
                 next,
                 nextSeq,
                 nextProbeAt,
+                nextFullRoundAt,
                 nextRejoinAt,
                 heardAt);
     }
 
-    MembershipState withNextProbeAt(Instant at) {
+    MembershipState withNextProbeAt(Instant at, Instant fullRoundAt) {
         return new MembershipState(
                 self,
                 members,
@@ -203,6 +211,7 @@
                 suspects,
                 nextSeq,
                 at,
+                fullRoundAt,
                 nextRejoinAt,
                 heardAt);
     }
@@ -219,6 +228,7 @@
                 suspects,
                 nextSeq,
                 nextProbeAt,
+                nextFullRoundAt,
                 at,
                 heardAt);
     }
@@ -241,6 +251,7 @@
                 suspects,
                 nextSeq,
                 nextProbeAt,
+                nextFullRoundAt,
                 nextRejoinAt,
                 at);
     }
@@ -257,6 +268,7 @@
                 suspects.minus(id),
                 nextSeq,
                 nextProbeAt,
+                nextFullRoundAt,
                 nextRejoinAt,
                 heardAt);
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/Rings.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/Rings.java
@@ -9,6 +9,7 @@
 import org.heatherhaven.core.logic.Hashes;
 import org.heatherhaven.core.model.Member;
 import org.heatherhaven.core.model.NodeId;
+import org.heatherhaven.core.model.Zone;
 
 /**
  * Chooses whom to probe: the successor in each of a few rings, ordered by independent hashes.
@@ -25,8 +26,43 @@
     /** Rings that stay within a zone, where connections are short and cheap; the last one crosses all zones. */
     private static final int ZONE_RINGS = 2;
 
+    /** Members of the whole fleet that watch the platform at least, so that the loss of some is not felt. */
+    private static final int WATCHERS = 4;
+
+    /** Members whose word one watcher passes on, so that its probes stay few. */
+    private static final int MEMBERS_PER_WATCHER = 64;
+
     private Rings() {}
 
+    /**
+     * Members that watch the platform for a zone; the same on all nodes that know the same members.
+     *
+     * @param zone the zone
+     * @param members all members
+     * @return the watchers, best first
+     */
+    public static List<Member> watchers(Zone zone, Collection<Member> members) {
+        long zones = members.stream()
+                .filter(member -> !member.status().gone())
+                .map(Member::zone)
+                .distinct()
+                .count();
+        List<Member> candidates = living(zone, members);
+        int forFleet = (int) Math.ceil((double) WATCHERS / Math.max(1, zones));
+        int forZone = (int) Math.ceil((double) candidates.size() / MEMBERS_PER_WATCHER);
+        return ranked(zone, candidates, Math.max(forFleet, forZone));
+    }
+
+    private static List<Member> ranked(Zone zone, List<Member> candidates, int count) {
+        return rendezvous("watch|" + zone, candidates, count);
+    }
+
+    private static List<Member> living(Zone zone, Collection<Member> members) {
+        return members.stream()
+                .filter(member -> member.zone().equals(zone) && !member.status().gone())
+                .toList();
+    }
+
     static List<NodeId> successors(Member self, Collection<Member> members) {
         List<Member> others = members.stream()
                 .filter(member -> !member.status().gone() && !member.id().equals(self.id()))
@@ -35,7 +71,13 @@
                 .filter(member -> member.zone().equals(self.zone()))
                 .toList();
         List<NodeId> chosen = new ArrayList<>();
-        for (int ring = 0; ring < RINGS; ring++) {
+        List<Member> watchers = watchers(self.zone(), members);
+        if (watchers.stream().noneMatch(watcher -> watcher.id().equals(self.id())) && !watchers.isEmpty()) {
+            // The platform's word is then never older than a probe and a watcher's read.
+            int mine = Hashes.bucket(self.id().value(), watchers.size());
+            chosen.add(watchers.get(mine).id());
+        }
+        for (int ring = chosen.size(); ring < RINGS; ring++) {
             boolean zoneRing = ring < ZONE_RINGS && near.size() > chosen.size();
             successor(self.id(), zoneRing ? near : others, ring, chosen).ifPresent(chosen::add);
         }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
@@ -65,6 +65,7 @@
                 step.policy,
                 step.self(),
                 probe.replyTo(),
+                near(step, probe.from()),
                 probe.rumours().policyVersion(),
                 Optional.empty(),
                 step.now,
@@ -80,12 +81,17 @@
                 step.policy,
                 step.self(),
                 ack.from().id(),
+                near(step, ack.from()),
                 ack.rumours().policyVersion(),
                 confirmed,
                 step.now,
                 step.out);
     }
 
+    private static boolean near(Step step, Member peer) {
+        return peer.zone().equals(step.fleet.self().zone());
+    }
+
     /** Peers that know an earlier process of this node count with it. */
     private static void noticeFormerSelf(Step step, List<Member> accounts) {
         Member self = step.fleet.self();
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Spreading.java
@@ -1,6 +1,7 @@
 package org.heatherhaven.core.logic.node;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -25,15 +26,11 @@
 import org.heatherhaven.core.model.RightId;
 import org.heatherhaven.core.model.Route;
 import org.heatherhaven.core.model.Team;
-import org.heatherhaven.core.model.Zone;
 import org.pcollections.PMap;
 
 /** What follows from new policy versions, and the duties that a few nodes carry for all. */
 final class Spreading {
 
-    /** Members of the whole fleet that watch the platform at least, so that the loss of some is not felt. */
-    private static final int WATCHERS = 4;
-
     private static final Duration REVIEW_INTERVAL = Duration.ofSeconds(1);
 
     private Spreading() {}
@@ -81,17 +78,8 @@
         if (step.now.isBefore(step.duties.reviewAt())) {
             return;
         }
-        Zone home = step.fleet.self().zone();
-        List<Member> zone = step.fleet.members().values().stream()
-                .filter(member -> member.zone().equals(home) && !member.status().gone())
-                .toList();
-        long zones = step.fleet.members().values().stream()
-                .filter(member -> !member.status().gone())
-                .map(Member::zone)
-                .distinct()
-                .count();
-        int watchers = (int) Math.ceil((double) WATCHERS / Math.max(1, zones));
-        boolean watcher = Rings.rendezvous("watch|" + home, zone, watchers).stream()
+        Collection<Member> members = step.fleet.members().values();
+        boolean watcher = Rings.watchers(step.fleet.self().zone(), members).stream()
                 .anyMatch(member -> member.id().equals(step.self()));
         step.duties = new Duties(watcher, step.now.plus(REVIEW_INTERVAL));
         step.routing = RoutingLogic.prune(step.routing, step.fleet);
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyLogic.java
@@ -10,6 +10,7 @@
 import org.heatherhaven.core.effect.Outbox;
 import org.heatherhaven.core.event.PlatformEvent.PolicyRead;
 import org.heatherhaven.core.event.PlatformEvent.PolicyWritten;
+import org.heatherhaven.core.logic.policy.PolicyState.FarNews;
 import org.heatherhaven.core.message.PolicyPage;
 import org.heatherhaven.core.message.PolicyPull;
 import org.heatherhaven.core.model.NodeId;
@@ -41,11 +42,14 @@
     private static final Duration FIRST_READ_PAUSE = Duration.ofMillis(800);
 
     /** Without news of the watchers for this long a node asks the platform itself. */
-    private static final Duration STALE_AFTER = Duration.ofMillis(2_500);
+    private static final Duration STALE_AFTER = Duration.ofMillis(3_000);
 
     /** Who does not watch the platform for others waits so long for their word before it asks. */
     private static final Duration PEERS_TELL = Duration.ofMillis(1_000);
 
+    /** A whole policy is large: another zone is asked for it only if none nearby has told of it for so long. */
+    private static final Duration NEAR_TELL = Duration.ofMillis(700);
+
     private static final int PAGE_VERSIONS = 32;
 
     private PolicyLogic() {}
@@ -180,6 +184,7 @@
      * @param state the state
      * @param self this node
      * @param peer the peer
+     * @param near true if the peer is in this node's zone
      * @param peerVersion version in force at the peer
      * @param confirmedAt when the peer's version is known to have been the newest
      * @param now current time
@@ -190,6 +195,7 @@
             PolicyState state,
             NodeId self,
             NodeId peer,
+            boolean near,
             long peerVersion,
             Optional<Instant> confirmedAt,
             Instant now,
@@ -201,6 +207,12 @@
         if (peerVersion <= version || now.isBefore(state.pullAt())) {
             return state;
         }
+        if (!near && state.far().version() < peerVersion) {
+            return state.withFar(new FarNews(peerVersion, now));
+        }
+        if (!near && now.isBefore(state.far().since().plus(NEAR_TELL))) {
+            return state;
+        }
         out.add(new Effect.Send(peer, new PolicyPull(self, version)));
         return state.withPullAt(now.plus(PULL_PAUSE));
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyState.java
@@ -16,6 +16,7 @@
  * @param confirmedAt the latest moment at which the version in force is known to have been the newest
  * @param submission a patch of this node that is being committed
  * @param pullAt when missing versions are asked for next
+ * @param far newer version that another zone told of
  * @param readAt when the platform is read next
  * @param reading true while a read of the platform is under way
  */
@@ -25,9 +26,20 @@
         Instant confirmedAt,
         Optional<Submission> submission,
         Instant pullAt,
+        FarNews far,
         Instant readAt,
         boolean reading) {
 
+    /**
+     * A version that a node of another zone told of.
+     *
+     * @param version its number
+     * @param since when it was first told
+     */
+    record FarNews(long version, Instant since) {
+        static final FarNews NONE = new FarNews(0, Instant.MIN);
+    }
+
     /** Age of the platform's word at the start of a process, which has not had any. */
     private static final Duration UNCONFIRMED = Duration.ofHours(1);
 
@@ -39,16 +51,17 @@
      */
     public static PolicyState start(Instant now) {
         Instant unconfirmed = now.minus(UNCONFIRMED);
-        return new PolicyState(Policy.EMPTY, TreePVector.empty(), unconfirmed, Optional.empty(), now, now, false);
+        return new PolicyState(
+                Policy.EMPTY, TreePVector.empty(), unconfirmed, Optional.empty(), now, FarNews.NONE, now, false);
     }
 
     PolicyState withPolicy(Policy next, PVector<PolicyVersion> versions) {
-        return new PolicyState(next, versions, confirmedAt, submission, pullAt, readAt, reading);
+        return new PolicyState(next, versions, confirmedAt, submission, pullAt, far, readAt, reading);
     }
 
     PolicyState withConfirmed(Instant at) {
         Instant latest = at.isAfter(confirmedAt) ? at : confirmedAt;
-        return new PolicyState(policy, recent, latest, submission, pullAt, readAt, reading);
+        return new PolicyState(policy, recent, latest, submission, pullAt, far, readAt, reading);
     }
 
     /**
@@ -58,18 +71,22 @@
      * @return the changed state
      */
     public PolicyState aged(Duration time) {
-        return new PolicyState(policy, recent, confirmedAt.minus(time), submission, pullAt, readAt, reading);
+        return new PolicyState(policy, recent, confirmedAt.minus(time), submission, pullAt, far, readAt, reading);
     }
 
     PolicyState withSubmission(Optional<Submission> next) {
-        return new PolicyState(policy, recent, confirmedAt, next, pullAt, readAt, reading);
+        return new PolicyState(policy, recent, confirmedAt, next, pullAt, far, readAt, reading);
     }
 
     PolicyState withPullAt(Instant at) {
-        return new PolicyState(policy, recent, confirmedAt, submission, at, readAt, reading);
+        return new PolicyState(policy, recent, confirmedAt, submission, at, far, readAt, reading);
     }
 
     PolicyState withRead(Instant at, boolean underWay) {
-        return new PolicyState(policy, recent, confirmedAt, submission, pullAt, at, underWay);
+        return new PolicyState(policy, recent, confirmedAt, submission, pullAt, far, at, underWay);
+    }
+
+    PolicyState withFar(FarNews next) {
+        return new PolicyState(policy, recent, confirmedAt, submission, pullAt, next, readAt, reading);
     }
 }
