--- a/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
@@ -8,6 +8,7 @@
 import org.heatherhaven.core.logic.once.OnceLogic;
 import org.heatherhaven.core.logic.placement.PlacementLogic;
 import org.heatherhaven.core.logic.policy.PolicyLogic;
+import org.heatherhaven.core.logic.policy.PolicyLogic.PeerWord;
 import org.heatherhaven.core.logic.quota.Borrowing;
 import org.heatherhaven.core.logic.quota.Lending;
 import org.heatherhaven.core.logic.quota.ShareOwners;
@@ -61,15 +62,7 @@
 
     private static void onProbe(Step step, Probe probe) {
         step.fleet = MembershipLogic.probed(step.fleet, probe, step.rumours(), step.now, step.out);
-        step.policy = PolicyLogic.heard(
-                step.policy,
-                step.self(),
-                probe.replyTo(),
-                near(step, probe.from()),
-                probe.rumours().policyVersion(),
-                Optional.empty(),
-                step.now,
-                step.out);
+        hearPolicy(step, probe.from(), probe.rumours().policyVersion(), Optional.empty());
     }
 
     private static void onProbeAck(Step step, ProbeAck ack) {
@@ -77,19 +70,13 @@
         Optional<Instant> confirmed = MembershipLogic.sentAt(step.fleet, ack)
                 .map(sent -> sent.minusMillis(ack.rumours().confirmedAgoMillis()));
         step.fleet = MembershipLogic.acknowledged(step.fleet, ack, step.now);
-        step.policy = PolicyLogic.heard(
-                step.policy,
-                step.self(),
-                ack.from().id(),
-                near(step, ack.from()),
-                ack.rumours().policyVersion(),
-                confirmed,
-                step.now,
-                step.out);
+        hearPolicy(step, ack.from(), ack.rumours().policyVersion(), confirmed);
     }
 
-    private static boolean near(Step step, Member peer) {
-        return peer.zone().equals(step.fleet.self().zone());
+    private static void hearPolicy(Step step, Member peer, long version, Optional<Instant> confirmedAt) {
+        boolean near = peer.zone().equals(step.fleet.self().zone());
+        PeerWord word = new PeerWord(peer.id(), near, version, confirmedAt);
+        step.policy = PolicyLogic.heard(step.policy, step.self(), word, step.now, step.out);
     }
 
     /** Peers that know an earlier process of this node count with it. */
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyLogic.java
@@ -183,40 +183,39 @@
      *
      * @param state the state
      * @param self this node
-     * @param peer the peer
-     * @param near true if the peer is in this node's zone
-     * @param peerVersion version in force at the peer
-     * @param confirmedAt when the peer's version is known to have been the newest
+     * @param word what the peer said of its version
      * @param now current time
      * @param out takes the effects
      * @return the new state
      */
-    public static PolicyState heard(
-            PolicyState state,
-            NodeId self,
-            NodeId peer,
-            boolean near,
-            long peerVersion,
-            Optional<Instant> confirmedAt,
-            Instant now,
-            Outbox out) {
+    public static PolicyState heard(PolicyState state, NodeId self, PeerWord word, Instant now, Outbox out) {
         long version = state.policy().version();
-        if (peerVersion == version && confirmedAt.isPresent()) {
-            return state.withConfirmed(confirmedAt.get());
+        if (word.version() == version && word.confirmedAt().isPresent()) {
+            return state.withConfirmed(word.confirmedAt().get());
         }
-        if (peerVersion <= version || now.isBefore(state.pullAt())) {
+        if (word.version() <= version || now.isBefore(state.pullAt())) {
             return state;
         }
-        if (!near && state.far().version() < peerVersion) {
-            return state.withFar(new FarNews(peerVersion, now));
+        if (!word.near() && state.far().version() <= version) {
+            return state.withFar(new FarNews(word.version(), now));
         }
-        if (!near && now.isBefore(state.far().since().plus(NEAR_TELL))) {
+        if (!word.near() && now.isBefore(state.far().since().plus(NEAR_TELL))) {
             return state;
         }
-        out.add(new Effect.Send(peer, new PolicyPull(self, version)));
+        out.add(new Effect.Send(word.peer(), new PolicyPull(self, version)));
         return state.withPullAt(now.plus(PULL_PAUSE));
     }
 
+    /**
+     * What a peer said of the policy in force there.
+     *
+     * @param peer the peer
+     * @param near true if it is in this node's zone
+     * @param version its version
+     * @param confirmedAt when that version is known to have been the newest
+     */
+    public record PeerWord(NodeId peer, boolean near, long version, Optional<Instant> confirmedAt) {}
+
     /**
      * Lets time pass: retries a commit, and keeps the zone's watch on the platform.
      *
