A node whose watcher doesn't answer reads the platform itself; two watchers a zone again

The watcher's probe had taken the place of a ring, and another zone was asked only after 0.7 s. Change: two watchers a zone; the watcher is a neighbour besides the rings; a probe to it that is unanswered for 0.4 s lets the node read at once; another zone is asked after 0.3 s. Tried and taken back: one more random near probe a second (a test with a third of the nodes cut off still found nodes that nobody told in 2 s).

--- a/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/MembershipLogic.java
@@ -38,6 +38,9 @@
     /** Time between two probes while there are news to tell. */
     static final Duration NEWS_INTERVAL = Duration.ofMillis(200);
 
+    /** A watcher that has not answered by then is passed over, before it is suspected of anything. */
+    private static final Duration WATCHER_ANSWERS = Duration.ofMillis(400);
+
     private static final Duration RELAY_AFTER = Duration.ofMillis(500);
     private static final Duration SUSPECT_AFTER = Duration.ofMillis(1_200);
     private static final Duration DEAD_AFTER = Duration.ofSeconds(2);
@@ -387,6 +390,23 @@
         return Optional.ofNullable(state.pending().get(ack.seq())).map(PendingProbe::sentAt);
     }
 
+    /**
+     * Tells whether the neighbour that watches the platform for this node leaves a probe unanswered.
+     *
+     * @param state the state
+     * @param now current time
+     * @return true if its word can't be counted on at present
+     */
+    public static boolean watcherSilent(MembershipState state, Instant now) {
+        if (state.neighbours().isEmpty()) {
+            return true;
+        }
+        NodeId watcher = state.neighbours().get(0);
+        return state.pending().values().stream()
+                .anyMatch(probe -> probe.target().equals(watcher)
+                        && Duration.between(probe.sentAt(), now).compareTo(WATCHER_ANSWERS) > 0);
+    }
+
     private static MembershipState hear(MembershipState state, Member from, Rumours rumours, Instant now) {
         MembershipState next = learn(state, from, now).withHeardAt(now);
         for (Member member : rumours.members()) {
--- a/core/src/main/java/org/heatherhaven/core/logic/membership/Rings.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/membership/Rings.java
@@ -20,14 +20,14 @@
  */
 public final class Rings {
 
-    /** Number of rings, and so of neighbours. */
+    /** Number of rings; each gives a neighbour, and a watcher of the zone is one more. */
     static final int RINGS = 3;
 
     /** Rings that stay within a zone, where connections are short and cheap; the last one crosses all zones. */
     private static final int ZONE_RINGS = 2;
 
-    /** Members of the whole fleet that watch the platform at least, so that the loss of some is not felt. */
-    private static final int WATCHERS = 4;
+    /** Members of a zone that watch the platform at least, so that the loss of one is not felt. */
+    private static final int WATCHERS = 2;
 
     /** Members whose word one watcher passes on, so that its probes stay few. */
     private static final int MEMBERS_PER_WATCHER = 64;
@@ -42,15 +42,9 @@
      * @return the watchers, best first
      */
     public static List<Member> watchers(Zone zone, Collection<Member> members) {
-        long zones = members.stream()
-                .filter(member -> !member.status().gone())
-                .map(Member::zone)
-                .distinct()
-                .count();
         List<Member> candidates = living(zone, members);
-        int forFleet = (int) Math.ceil((double) WATCHERS / Math.max(1, zones));
         int forZone = (int) Math.ceil((double) candidates.size() / MEMBERS_PER_WATCHER);
-        return ranked(zone, candidates, Math.max(forFleet, forZone));
+        return ranked(zone, candidates, Math.max(WATCHERS, forZone));
     }
 
     private static List<Member> ranked(Zone zone, List<Member> candidates, int count) {
@@ -77,7 +71,7 @@
             int mine = Hashes.bucket(self.id().value(), watchers.size());
             chosen.add(watchers.get(mine).id());
         }
-        for (int ring = chosen.size(); ring < RINGS; ring++) {
+        for (int ring = 0; ring < RINGS; ring++) {
             boolean zoneRing = ring < ZONE_RINGS && near.size() > chosen.size();
             successor(self.id(), zoneRing ? near : others, ring, chosen).ifPresent(chosen::add);
         }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
@@ -39,7 +39,6 @@
 import org.heatherhaven.core.logic.node.NodeRules.KeyTrust;
 import org.heatherhaven.core.logic.placement.PlacementLogic;
 import org.heatherhaven.core.logic.policy.PolicyLogic;
-import org.heatherhaven.core.logic.policy.PolicyState;
 import org.heatherhaven.core.logic.quota.Borrowing;
 import org.heatherhaven.core.logic.rights.RightsLogic;
 import org.heatherhaven.core.model.MemberStatus;
@@ -209,8 +208,8 @@
     private static void onTick(Step step) {
         step.fleet = MembershipLogic.tick(step.fleet, step.rumours(), step.now, step.out);
         Spreading.review(step);
-        PolicyState policy = PolicyLogic.tick(step.policy, step.duties.watcher(), step.now, step.out);
-        step.policy = policy;
+        boolean watches = step.duties.watcher() || MembershipLogic.watcherSilent(step.fleet, step.now);
+        step.policy = PolicyLogic.tick(step.policy, watches, step.now, step.out);
         if (!step.rights.rights().isEmpty() || !step.rights.reading().isEmpty()) {
             step.rights = RightsLogic.tick(step.rights, step.fleet, step.now, step.out);
         }
--- a/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/policy/PolicyLogic.java
@@ -48,7 +48,7 @@
     private static final Duration PEERS_TELL = Duration.ofMillis(1_000);
 
     /** A whole policy is large: another zone is asked for it only if none nearby has told of it for so long. */
-    private static final Duration NEAR_TELL = Duration.ofMillis(700);
+    private static final Duration NEAR_TELL = Duration.ofMillis(300);
 
     private static final int PAGE_VERSIONS = 32;
 
--- a/core/src/test/java/org/heatherhaven/core/logic/policy/FarPolicyTest.java
+++ b/core/src/test/java/org/heatherhaven/core/logic/policy/FarPolicyTest.java
@@ -39,18 +39,18 @@
     @Example
     void anotherZoneIsAskedIfNobodyNearbyHasToldOfTheVersion() {
         expect(0, asks(false, 5, 0));
-        expect(0, asks(false, 5, 400));
-        expect(1, asks(false, 5, 800));
+        expect(0, asks(false, 5, 200));
+        expect(1, asks(false, 5, 400));
     }
 
     @Example
     void versionsInQuickSuccessionDoNotPutTheQuestionOff() {
         int asked = 0;
         for (int version = 5; version < 10; version++) {
-            asked += asks(false, version, (version - 5) * 300);
+            asked += asks(false, version, (version - 5) * 100);
         }
         if (asked == 0) {
-            throw new AssertionError("nobody was asked in 1.2 s of newer and newer versions");
+            throw new AssertionError("nobody was asked in 0.4 s of newer and newer versions");
         }
     }
 }
