A small team's bound with slack is a property, at four sizes

SmallTeamsTest: a flood of a team's calls over 12 to 300 nodes is held to rate, burst and slack. The level of a leaking bucket moved to History, where both tests use it; a lower rate is now counted for its team alone.

--- a/core/src/test/java/org/heatherhaven/core/fleet/History.java
+++ b/core/src/test/java/org/heatherhaven/core/fleet/History.java
@@ -1,5 +1,6 @@
 package org.heatherhaven.core.fleet;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -51,6 +52,32 @@
         return admissions;
     }
 
+    /** Level of a bucket that leaks at the rate; above the team's burst exactly if some window holds too many. */
+    public double highestLevel(String team, double rate) {
+        return highestLevel(
+                admissions.stream()
+                        .filter(admission -> admission.team().equals(team))
+                        .toList(),
+                rate);
+    }
+
+    /** The same for admissions of one team, in the order of time. */
+    public static double highestLevel(List<Admission> admissions, double rate) {
+        double level = 0;
+        double most = 0;
+        Instant last = Instant.MIN;
+        for (Admission admission : admissions) {
+            if (!last.equals(Instant.MIN)) {
+                double seconds = Duration.between(last, admission.at()).toNanos() / 1e9;
+                level = Math.max(0, level - seconds * rate);
+            }
+            level += 1;
+            most = Math.max(most, level);
+            last = admission.at();
+        }
+        return most;
+    }
+
     public List<Execution> executions() {
         return executions;
     }
--- a/core/src/test/java/org/heatherhaven/core/proof/TeamRateTest.java
+++ b/core/src/test/java/org/heatherhaven/core/proof/TeamRateTest.java
@@ -32,7 +32,7 @@
         fleet.setFaults(Faults.HARSH);
         Fleets.disturb(fleet, Duration.ofSeconds(45));
         fleet.run(Duration.ofSeconds(50));
-        double most = highestLevel(fleet.history().admissions(), RATE * DRIFT);
+        double most = fleet.history().highestLevel("banquets", RATE * DRIFT);
         if (most > BURST + 1e-6) {
             throw new AssertionError("a window held " + (most - BURST) + " admissions more than rate and burst");
         }
@@ -42,26 +42,6 @@
         }
     }
 
-    /** Level of a bucket that leaks at the rate; above the burst exactly if some window holds too many. */
-    static double highestLevel(List<History.Admission> admissions, double rate) {
-        double level = 0;
-        double most = 0;
-        Instant last = Instant.MIN;
-        for (History.Admission admission : admissions) {
-            if (!admission.team().equals("banquets")) {
-                continue;
-            }
-            if (!last.equals(Instant.MIN)) {
-                double seconds = Duration.between(last, admission.at()).toNanos() / 1e9;
-                level = Math.max(0, level - seconds * rate);
-            }
-            level += 1;
-            most = Math.max(most, level);
-            last = admission.at();
-        }
-        return most;
-    }
-
     @Property(tries = 20, seed = "20261204")
     void aTeamThatStaysWithinItsRateIsNotRefusedWhereverItsCallsEnter(
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
@@ -90,7 +70,7 @@
         fleet.run(Duration.ofSeconds(3));
         fleet.drain(fleet.nodes().get((int) (seed % 4)));
         fleet.run(Duration.ofSeconds(12));
-        double most = highestLevel(fleet.history().admissions(), RATE);
+        double most = fleet.history().highestLevel("banquets", RATE);
         if (most > BURST + 1e-6) {
             throw new AssertionError("a window held " + (most - BURST) + " admissions too many");
         }
@@ -106,9 +86,10 @@
         Instant inForce = fleet.now();
         fleet.run(Duration.ofSeconds(10));
         List<History.Admission> after = fleet.history().admissions().stream()
-                .filter(admission -> admission.at().isAfter(inForce))
+                .filter(admission ->
+                        admission.team().equals("banquets") && admission.at().isAfter(inForce))
                 .toList();
-        double most = highestLevel(after, RATE / 5);
+        double most = History.highestLevel(after, RATE / 5);
         if (most > BURST / 5 + 1e-6) {
             throw new AssertionError("a window held " + (most - BURST / 5) + " admissions too many");
         }
@@ -123,7 +104,7 @@
         fleet.setFaults(new Faults(0.1, 0.2, Duration.ofMillis(2_500), 0, 0, Duration.ofMillis(10), 0));
         Fleets.disturb(fleet, Duration.ofSeconds(35));
         fleet.run(Duration.ofSeconds(40));
-        double most = highestLevel(fleet.history().admissions(), RATE / 10);
+        double most = fleet.history().highestLevel("banquets", RATE / 10);
         if (most > burst + 1e-6) {
             throw new AssertionError("a window held " + (most - burst) + " admissions too many");
         }
--- a/core/src/test/java/org/heatherhaven/core/size/SmallTeamsTest.java
+++ b/core/src/test/java/org/heatherhaven/core/size/SmallTeamsTest.java
@@ -17,6 +17,7 @@
 class SmallTeamsTest {
 
     private static final long SEED = 20_261_204;
+    private static final double SLACK = 10;
     private static final Team SMALL = new Team("small", 5, 5, 1);
 
     /** Part of the teams' calls that may be refused though the team stays far below its rate. */
@@ -36,7 +37,7 @@
 
     /** Every team calls at 40% of its rate, at random moments, each call through a node at random. */
     private static void refusedBelowTheRate(long seed, int nodes) {
-        SmallFleet fleet = SizedFleet.started(seed, nodes, 5, SMALL, 10);
+        SmallFleet fleet = SizedFleet.started(seed, nodes, 5, SMALL, SLACK);
         int calls = (int) (0.4 * SMALL.rate() * LOAD.toSeconds());
         IntStream.range(0, SizedFleet.TEAMS)
                 .forEach(team -> IntStream.range(0, calls)
@@ -58,4 +59,30 @@
             throw new AssertionError(refused + " of " + all + " calls were refused with " + nodes + " nodes");
         }
     }
+
+    /** All nodes send a small team's calls as fast as they can: its burst and the slack, and then its rate. */
+    @Property
+    void aTeamFarBeyondItsRateGetsNoMoreThanRateBurstAndSlack(@ForAll("sizes") int nodes) {
+        SmallFleet fleet = SizedFleet.started(SEED, nodes, 5, SMALL, SLACK);
+        for (int number = 0; number < 600; number++) {
+            int call = number;
+            fleet.after(
+                    Duration.ofMillis(10L * number),
+                    () -> fleet.call(
+                            fleet.nodes().get(fleet.random().nextInt(nodes)),
+                            "flood-" + call,
+                            "/pricing/x",
+                            SizedFleet.key(0),
+                            Optional.empty()));
+        }
+        fleet.run(LOAD.plusSeconds(1));
+        double most = fleet.history().highestLevel("team-0", SMALL.rate());
+        if (most > SMALL.burst() + SLACK + 1e-6) {
+            throw new AssertionError("a window held " + (most - SMALL.burst()) + " admissions beyond rate and burst");
+        }
+        if (fleet.history().admissions().size() < SMALL.rate() * LOAD.toSeconds() / 2) {
+            throw new AssertionError("hardly anything was admitted: "
+                    + fleet.history().admissions().size());
+        }
+    }
 }
