--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
@@ -35,6 +35,7 @@
 import org.heatherhaven.core.logic.admission.GuardLogic;
 import org.heatherhaven.core.logic.admission.Running;
 import org.heatherhaven.core.logic.callgraph.CallGraphLogic;
+import org.heatherhaven.core.logic.membership.MemberTables;
 import org.heatherhaven.core.logic.membership.MembershipLogic;
 import org.heatherhaven.core.logic.node.NodeRules.KeyTrust;
 import org.heatherhaven.core.logic.placement.PlacementLogic;
@@ -166,7 +167,7 @@
                 step.placement = PlacementLogic.knownBefore(step.placement, step.now);
             }
         } else if (event instanceof MembersListed listed) {
-            step.fleet = MembershipLogic.listed(step.fleet, listed.members(), step.now, step.out);
+            step.fleet = MemberTables.listed(step.fleet, listed.members(), step.now, step.out);
         }
     }
 
--- a/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/PeerTalk.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.heatherhaven.core.logic.membership.MemberTables;
 import org.heatherhaven.core.logic.membership.MembershipLogic;
 import org.heatherhaven.core.logic.once.OnceLogic;
 import org.heatherhaven.core.logic.placement.PlacementLogic;
@@ -47,10 +48,10 @@
         } else if (message instanceof ProbeRequest request) {
             MembershipLogic.relayed(step.fleet, request, step.rumours(), step.out);
         } else if (message instanceof MembersPull pull) {
-            step.fleet = MembershipLogic.answerPull(step.fleet, pull, step.now, step.out);
+            step.fleet = MemberTables.answerPull(step.fleet, pull, step.now, step.out);
         } else if (message instanceof MembersPage page) {
             noticeFormerSelf(step, page.members());
-            step.fleet = MembershipLogic.page(step.fleet, page, step.now, step.out);
+            step.fleet = MemberTables.page(step.fleet, page, step.now, step.out);
         } else if (message instanceof PolicyPull pull) {
             PolicyLogic.answerPull(step.policy, pull, step.out);
         } else if (message instanceof PolicyPage page) {
