Log and count what a target sends beside or instead of its answer

The node's target side now posts TargetAnomalySeen, at most once a kind for each call, and nothing on the ordinary path; the reducer records a decision (rule "target answer", subject the request's id) and NodeMetrics counts it as target.anomalies.KIND. What is done with the bytes is unchanged.

HttpClientCodec hides its decoder, so that undecoded bytes can't be seen. It is replaced by HttpRequestEncoder and TargetResponseDecoder, with the same limits and the same pairing of methods and responses: only the first final response to HEAD is without a body. One difference: after a 200 to CONNECT the old codec stopped decoding, the new one goes on.

Reports are queued on the event loop: the mailbox may run the reducer on the sending thread, which could end the very call whose answer is being handled.

RecordedMetricsTest counts each new counter with its own value, RecordedConstantsTest also records the new enum. ScriptedTarget can hold back a part of an answer until the test asks for it. TargetConnectionsTest only passes the new constructor argument.

--- a/core/src/main/java/org/heatherhaven/core/effect/Effect.java
+++ b/core/src/main/java/org/heatherhaven/core/effect/Effect.java
@@ -5,6 +5,7 @@
 
 import org.heatherhaven.core.event.OfferKey;
 import org.heatherhaven.core.message.PeerMessage;
+import org.heatherhaven.core.model.AnswerAnomaly;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Grant;
 import org.heatherhaven.core.model.LeaseId;
@@ -191,6 +192,13 @@
      */
     record CountRetry(Reason reason) implements Effect {}
 
+    /**
+     * Counts an anomaly of the target's responses in the metrics.
+     *
+     * @param anomaly what was received
+     */
+    record CountAnomaly(AnswerAnomaly anomaly) implements Effect {}
+
     /** Result of a report of the target. */
     enum ReportVerdict {
         /** The report was applied. */
--- a/core/src/main/java/org/heatherhaven/core/event/TrafficEvent.java
+++ b/core/src/main/java/org/heatherhaven/core/event/TrafficEvent.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.heatherhaven.core.model.AnswerAnomaly;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
 import org.heatherhaven.core.model.Outcome;
@@ -140,4 +141,13 @@
      * @param result result of the call
      */
     record TargetEnded(OfferKey key, TargetResult result) implements TrafficEvent {}
+
+    /**
+     * A connection to the target received something other than the complete response to the call in hand.
+     *
+     * @param requestId identifier of the call that uses the connection, or used it last if the connection is idle
+     * @param anomaly what was received
+     * @param detail figures that tell how it came about
+     */
+    record TargetAnomalySeen(String requestId, AnswerAnomaly anomaly, String detail) implements TrafficEvent {}
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeReducer.java
@@ -31,6 +31,7 @@
 import org.heatherhaven.core.event.TrafficEvent.LinkClosed;
 import org.heatherhaven.core.event.TrafficEvent.OfferArrived;
 import org.heatherhaven.core.event.TrafficEvent.OfferCancelled;
+import org.heatherhaven.core.event.TrafficEvent.TargetAnomalySeen;
 import org.heatherhaven.core.event.TrafficEvent.TargetEnded;
 import org.heatherhaven.core.logic.admission.AdmissionLogic;
 import org.heatherhaven.core.logic.admission.RunningCall;
@@ -128,6 +129,8 @@
             context.admission = AdmissionLogic.linkClosed(context.admission, closed.link(), context.out);
         } else if (event instanceof TargetEnded ended) {
             onTargetEnded(context, ended);
+        } else if (event instanceof TargetAnomalySeen seen) {
+            TargetEventHandler.anomalySeen(context, seen);
         }
     }
 
--- a/core/src/main/java/org/heatherhaven/core/logic/node/TargetEventHandler.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/TargetEventHandler.java
@@ -6,6 +6,7 @@
 import org.heatherhaven.core.effect.Effect.ReportVerdict;
 import org.heatherhaven.core.event.ControlEvent.TargetLeft;
 import org.heatherhaven.core.event.ControlEvent.TargetReported;
+import org.heatherhaven.core.event.TrafficEvent.TargetAnomalySeen;
 import org.heatherhaven.core.logic.admission.AdmissionLogic;
 import org.heatherhaven.core.logic.membership.MembershipLogic;
 import org.heatherhaven.core.logic.registration.RegistrationLogic;
@@ -116,6 +117,13 @@
         }
     }
 
+    /** Records and counts what the target sent beside or instead of the response to the call in hand. */
+    static void anomalySeen(EventContext context, TargetAnomalySeen seen) {
+        context.recordDecision(
+                seen.requestId(), "target answer", seen.detail(), seen.anomaly().label());
+        context.out.add(new Effect.CountAnomaly(seen.anomaly()));
+    }
+
     /** Takes a target out of service whose reports have stopped. */
     static void tick(EventContext context) {
         boolean overdue = RegistrationLogic.overdue(context.registration, REPORT_TIMEOUT, context.now);
--- a/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
+++ b/node/src/main/java/org/heatherhaven/node/NodeDaemon.java
@@ -112,7 +112,7 @@
         this.peerLinks = new PeerLinks(peerSettings, group, clock);
         OfferedCalls offers = new OfferedCalls(mailbox, metrics::countRejectedConnection);
         this.peerServer = new PeerServer(peerSettings, offers);
-        this.targetConnections = new TargetConnections(integration.dialect(), group.next(), clock);
+        this.targetConnections = new TargetConnections(integration.dialect(), group.next(), clock, mailbox::put);
         this.platformGateway = new PlatformGateway(integration.platform(), integration.policySource(), mailbox::put);
         this.entryCalls = new EntryCalls(mailbox, peerLinks, integration.dialect(), metrics::countEntryRefusal);
         this.callerServer = new CallerServer(EntryPoint.CALLER, settings.entry(), entryCalls, tls.callerServer());
--- a/node/src/main/java/org/heatherhaven/node/http/CallDialect.java
+++ b/node/src/main/java/org/heatherhaven/node/http/CallDialect.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -48,6 +49,21 @@
      */
     ResponseVerdict classifyResponse(CallHead head, int status, HttpHeaders headers);
 
+    /**
+     * Returns whether targets repeat the request's id in their responses.
+     *
+     * @return false if responses without an id are normal
+     */
+    boolean answersCarryId();
+
+    /**
+     * Returns the id of the request that a target's response names.
+     *
+     * @param headers headers of the response
+     * @return the id; empty if the response bears none
+     */
+    Optional<String> responseId(HttpHeaders headers);
+
     /**
      * Selects the headers of a response that are forwarded to the caller.
      *
--- a/node/src/main/java/org/heatherhaven/node/http/DefaultDialect.java
+++ b/node/src/main/java/org/heatherhaven/node/http/DefaultDialect.java
@@ -94,6 +94,16 @@
         return status == SERVICE_UNAVAILABLE ? ResponseVerdict.OVERLOADED : ResponseVerdict.VALID;
     }
 
+    @Override
+    public boolean answersCarryId() {
+        return false;
+    }
+
+    @Override
+    public Optional<String> responseId(HttpHeaders headers) {
+        return Optional.empty();
+    }
+
     @Override
     public List<Header> responseHeaders(HttpHeaders headers) {
         return HEADER_FILTER.endToEnd(headers);
--- a/node/src/main/java/org/heatherhaven/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/heatherhaven/node/metrics/NodeMetrics.java
@@ -17,6 +17,7 @@
 import io.prometheus.client.exporter.common.TextFormat;
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.effect.Timing;
+import org.heatherhaven.core.model.AnswerAnomaly;
 import org.heatherhaven.core.model.Reason;
 import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramResetOnSnapshotReservoir;
 
@@ -27,6 +28,7 @@
     private final Map<Reason, Counter> entryRefusals = new EnumMap<>(Reason.class);
     private final Map<Reason, Counter> targetRefusals = new EnumMap<>(Reason.class);
     private final Map<Reason, Counter> retries = new EnumMap<>(Reason.class);
+    private final Map<AnswerAnomaly, Counter> anomalies = new EnumMap<>(AnswerAnomaly.class);
     private final Map<Timing, Histogram> latencies = new EnumMap<>(Timing.class);
     private final Counter callsForwarded = registry.counter("calls.forwarded");
     private final Counter offersRun = registry.counter("calls.run");
@@ -49,6 +51,9 @@
             targetRefusals.put(reason, registry.counter("refusals.target." + reason.label()));
             retries.put(reason, registry.counter("retries." + reason.label()));
         }
+        for (AnswerAnomaly anomaly : AnswerAnomaly.values()) {
+            anomalies.put(anomaly, registry.counter("target.anomalies." + anomaly.label()));
+        }
     }
 
     /**
@@ -63,6 +68,8 @@
             targetRefusals.get(refuse.refusal().reason()).inc();
         } else if (effect instanceof Effect.CountRetry retry) {
             retries.get(retry.reason()).inc();
+        } else if (effect instanceof Effect.CountAnomaly seen) {
+            anomalies.get(seen.anomaly()).inc();
         } else if (effect instanceof Effect.ForwardCall) {
             callsForwarded.inc();
         } else if (effect instanceof Effect.RunOffer) {
--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
@@ -3,24 +3,31 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.EnumSet;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.heatherhaven.core.event.TrafficEvent.TargetAnomalySeen;
+import org.heatherhaven.core.model.AnswerAnomaly;
 import org.heatherhaven.core.model.TargetRef;
+import org.heatherhaven.node.http.CallDialect;
 
 /**
  * A connection to the target, used by one call at a time.
@@ -37,9 +44,16 @@
     /** Largest number of interim (1xx) responses to one call; a target that sends more may never stop. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
+    private static final int MAX_SHOWN_CHARS = 64;
+
     private final TargetRef target;
     private final TargetConnections pool;
+    private final CallDialect dialect;
     private final InstantSource clock;
+    private final TargetResponseDecoder decoder = new TargetResponseDecoder(this::bytesReceived);
+    /** Anomalies reported since the last request was sent; each is reported once, however often a target repeats it. */
+    private final Set<AnswerAnomaly> reported = EnumSet.noneOf(AnswerAnomaly.class);
+
     private Channel channel;
     private Optional<TargetExchange> current = Optional.empty();
     private Duration maxIdle = DEFAULT_MAX_IDLE;
@@ -47,13 +61,29 @@
     private boolean closeAfterAnswer;
     private boolean readingInterim;
     private int interimResponses;
+    /** Head of the response whose body is being read. */
+    private Optional<HttpResponse> reading = Optional.empty();
+    /** Id of the request that was sent last. */
+    private String lastRequestId = "none";
+
+    private Instant requestSentAt = Instant.MIN;
+    /** True while the connection waits in the pool; a response that is decoded then answers no call. */
+    private boolean pooled;
+    /** Bytes received since the connection was returned to the pool. */
+    private int idleBytes;
 
-    TargetConnection(TargetRef target, TargetConnections pool, InstantSource clock) {
+    TargetConnection(TargetRef target, TargetConnections pool, CallDialect dialect, InstantSource clock) {
         this.target = target;
         this.pool = pool;
+        this.dialect = dialect;
         this.clock = clock;
     }
 
+    /** Returns the decoder to install ahead of this handler. */
+    TargetResponseDecoder decoder() {
+        return decoder;
+    }
+
     /** Returns the target process that the connection was opened to. */
     TargetRef target() {
         return target;
@@ -75,11 +105,25 @@
     void start(TargetExchange exchange) {
         current = Optional.of(exchange);
         interimResponses = 0;
+        pooled = false;
+        reported.clear();
+        lastRequestId = exchange.head().requestId();
+        requestSentAt = clock.instant();
         exchange.connected(this);
     }
 
+    /** Writes the head of a request; a failed write closes the connection. */
+    void writeHead(HttpRequest request) {
+        decoder.expectResponse(request.method());
+        write(request);
+    }
+
     void write(HttpObject message) {
-        channel.write(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        channel.write(message).addListener(done -> {
+            if (!done.isSuccess()) {
+                writeFailed(done.cause());
+            }
+        });
     }
 
     /** Writes a piece of the body and then runs {@code onWritten}; a failed write closes the connection. */
@@ -88,11 +132,16 @@
             if (done.isSuccess()) {
                 onWritten.run();
             } else {
-                channel.close();
+                writeFailed(done.cause());
             }
         });
     }
 
+    private void writeFailed(Throwable cause) {
+        reportBrokenOff("write failed with " + cause.getClass().getSimpleName());
+        channel.close();
+    }
+
     void flush() {
         channel.flush();
     }
@@ -104,19 +153,82 @@
     /** Returns the connection to the pool, or closes it if it can't serve another call. */
     void exchangeEnded(boolean reusable) {
         current = Optional.empty();
+        reading = Optional.empty();
         if (!reusable || closeAfterAnswer || !channel.isActive()) {
             channel.close();
             return;
         }
         setReading(true);
         idleSince = clock.instant();
+        idleBytes = 0;
+        pooled = true;
+        if (decoder.undecodedBytes() > 0) {
+            report(
+                    AnswerAnomaly.LEFTOVER_BYTES,
+                    () -> decoder.undecodedBytes() + " bytes after the end of the response, " + sinceRequest());
+        }
         pool.idle(this);
     }
 
     void close() {
+        pooled = false;
         channel.close();
     }
 
+    /** Reports an anomaly unless it was reported since the last request was sent. */
+    void report(AnswerAnomaly anomaly, Supplier<String> detail) {
+        if (reported.add(anomaly)) {
+            pool.anomalySeen(new TargetAnomalySeen(lastRequestId, anomaly, detail.get()));
+        }
+    }
+
+    /** Describes the head of a response for a report. */
+    String describe(HttpResponse response) {
+        String id = dialect.responseId(response.headers()).orElse("none");
+        return "status " + response.status().code() + ", id " + shorten(id) + ", " + length(response);
+    }
+
+    /** Cuts a header's value to a length that fits a report. */
+    static String shorten(String value) {
+        return value.substring(0, Math.min(value.length(), MAX_SHOWN_CHARS));
+    }
+
+    private static String length(HttpResponse response) {
+        if (HttpUtil.isTransferEncodingChunked(response)) {
+            return "chunked";
+        }
+        return HttpUtil.isContentLengthSet(response) ? "with a length" : "no length";
+    }
+
+    /** Returns the time since the head of the last request was written, for a report. */
+    String sinceRequest() {
+        return Duration.between(requestSentAt, clock.instant()).toMillis() + " ms after request " + lastRequestId;
+    }
+
+    private String idleTime() {
+        return idleBytes + " bytes in "
+                + Duration.between(idleSince, clock.instant()).toMillis() + " ms since the answer to " + lastRequestId;
+    }
+
+    private void reportBrokenOff(String cause) {
+        reading.ifPresent(response ->
+                report(AnswerAnomaly.BROKEN_OFF, () -> cause + ", " + describe(response) + ", " + sinceRequest()));
+    }
+
+    private void bytesReceived(int bytes) {
+        if (pooled) {
+            idleBytes += bytes;
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (pooled && idleBytes > 0) {
+            report(AnswerAnomaly.IDLE_BYTES, () -> idleTime() + ", not decoded yet");
+        }
+        ctx.fireChannelReadComplete();
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
@@ -126,6 +238,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (current.isEmpty()) {
             // Unexpected bytes while idle: they could be taken for the answer to the next call.
+            reportIdleObject((HttpObject) message);
             ReferenceCountUtil.release(message);
             ctx.close();
             return;
@@ -134,6 +247,7 @@
         HttpObject object = (HttpObject) message;
         if (!object.decoderResult().isSuccess()) {
             ReferenceCountUtil.release(message);
+            reportUndecodable(object.decoderResult().cause());
             exchange.fail();
             return;
         }
@@ -144,6 +258,7 @@
                 return;
             }
             readKeepAlive(response);
+            reading = Optional.of(response);
             exchange.received(response);
         }
         if (readingInterim) {
@@ -155,14 +270,37 @@
             boolean last = object instanceof LastHttpContent;
             exchange.received(content.content());
             if (last) {
+                reading = Optional.empty();
                 exchange.answerComplete();
             }
         }
     }
 
+    private void reportIdleObject(HttpObject message) {
+        if (!pooled || !channel.isActive()) {
+            return;
+        }
+        pooled = false;
+        report(AnswerAnomaly.IDLE_RESPONSE, () -> {
+            boolean valid = message.decoderResult().isSuccess();
+            return (valid && message instanceof HttpResponse response ? describe(response) : "not HTTP") + ", "
+                    + idleTime();
+        });
+    }
+
+    private void reportUndecodable(Throwable cause) {
+        boolean overLimit = cause instanceof TooLongFrameException;
+        report(
+                AnswerAnomaly.INVALID,
+                () -> (overLimit ? "over a limit: " : "not HTTP: ")
+                        + cause.getClass().getSimpleName() + ", "
+                        + reading.map(this::describe).orElse("in the head") + ", " + sinceRequest());
+    }
+
     private void countInterimResponse(TargetExchange exchange) {
         interimResponses++;
         if (interimResponses > MAX_INTERIM_RESPONSES) {
+            report(AnswerAnomaly.INVALID, () -> interimResponses + " interim responses, " + sinceRequest());
             exchange.fail();
         }
     }
@@ -180,11 +318,13 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         pool.connectionClosed(this);
+        reportBrokenOff("connection closed");
         current.ifPresent(TargetExchange::fail);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        reportBrokenOff(cause.getClass().getSimpleName());
         // Fails the call before closing: at a close, the decoder ends an answer without a length as if it were
         // complete.
         current.ifPresent(TargetExchange::fail);
--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -12,8 +13,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.heatherhaven.core.effect.Effect.RunOffer;
+import org.heatherhaven.core.event.TrafficEvent.TargetAnomalySeen;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.TargetRef;
 import org.heatherhaven.node.EventLoops;
@@ -23,9 +25,6 @@
 public final class TargetConnections {
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
-    private static final int MAX_LINE_CHARS = 8 * 1024;
-    private static final int MAX_HEADER_BYTES = 64 * 1024;
-    private static final int MAX_CHUNK_BYTES = 32 * 1024;
     /** Longest idle time after which a connection is reused. */
     private static final Duration MAX_IDLE = Duration.ofSeconds(4);
 
@@ -38,6 +37,7 @@
     private final CallDialect dialect;
     private final EventLoop loop;
     private final InstantSource clock;
+    private final Consumer<TargetAnomalySeen> anomalies;
     private final Deque<TargetConnection> idle = new ArrayDeque<>();
 
     /**
@@ -46,11 +46,14 @@
      * @param dialect conventions of HTTP headers and statuses between node and target
      * @param loop event loop of all connections of the pool
      * @param clock measures how long connections have been idle
+     * @param anomalies receives what the target sends beside or instead of the response to a call
      */
-    public TargetConnections(CallDialect dialect, EventLoop loop, InstantSource clock) {
+    public TargetConnections(
+            CallDialect dialect, EventLoop loop, InstantSource clock, Consumer<TargetAnomalySeen> anomalies) {
         this.dialect = dialect;
         this.loop = loop;
         this.clock = clock;
+        this.anomalies = anomalies;
     }
 
     /**
@@ -96,7 +99,7 @@
     }
 
     private void sendOnNew(TargetExchange exchange, TargetRef target) {
-        TargetConnection connection = new TargetConnection(target, this, clock);
+        TargetConnection connection = new TargetConnection(target, this, dialect, clock);
         int colon = target.address().lastIndexOf(':');
         InetSocketAddress address = new InetSocketAddress(
                 target.address().substring(0, colon),
@@ -110,7 +113,8 @@
                     @Override
                     protected void initChannel(Channel ch) {
                         ch.pipeline()
-                                .addLast(new HttpClientCodec(MAX_LINE_CHARS, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(connection.decoder())
+                                .addLast(new HttpRequestEncoder())
                                 .addLast(connection);
                     }
                 })
@@ -136,6 +140,14 @@
         idle.remove(connection);
     }
 
+    /**
+     * Passes on an anomaly. It is queued on the event loop, as the receiver may act on calls of the connection that is
+     * still handling what it received.
+     */
+    void anomalySeen(TargetAnomalySeen seen) {
+        loop.execute(() -> anomalies.accept(seen));
+    }
+
     /** Closes the idle connections; those in use stay open until their calls end. */
     public void close() {
         loop.execute(() -> {
--- a/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -22,6 +23,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import org.heatherhaven.core.effect.Effect.RunOffer;
 import org.heatherhaven.core.event.TrafficEvent.TargetResult;
+import org.heatherhaven.core.model.AnswerAnomaly;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
 import org.heatherhaven.node.EventLoops;
@@ -168,7 +170,7 @@
     void connected(TargetConnection open) {
         connection = Optional.of(open);
         open.setReading(readingEnabled);
-        open.write(request);
+        open.writeHead(request);
         writeBody();
         open.flush();
     }
@@ -205,6 +207,7 @@
     void received(HttpResponse response) {
         ResponseVerdict verdict =
                 dialect.classifyResponse(head, response.status().code(), response.headers());
+        reportAnomaly(verdict, response);
         switch (verdict) {
             case VALID -> {
                 List<Header> headers = dialect.responseHeaders(response.headers());
@@ -221,6 +224,30 @@
         }
     }
 
+    private void reportAnomaly(ResponseVerdict verdict, HttpResponse response) {
+        if (verdict == ResponseVerdict.OTHER_CALL) {
+            report(
+                    AnswerAnomaly.OTHER_CALL,
+                    open -> open.describe(response) + ", " + open.sinceRequest() + ", attempt " + head.attemptKind());
+        } else if (verdict == ResponseVerdict.INVALID) {
+            report(
+                    AnswerAnomaly.INVALID,
+                    open -> "rejected for its head: " + open.describe(response) + ", content encoding "
+                            + TargetConnection.shorten(
+                                    response.headers().get(HttpHeaderNames.CONTENT_ENCODING.toString(), "none")));
+        } else if (dialect.answersCarryId()
+                && dialect.responseId(response.headers()).isEmpty()) {
+            report(
+                    AnswerAnomaly.NO_ID,
+                    open -> open.describe(response) + ", " + open.sinceRequest() + ", attempt " + head.attemptKind()
+                            + ", taken as " + verdict);
+        }
+    }
+
+    private void report(AnswerAnomaly anomaly, Function<TargetConnection, String> detail) {
+        connection.ifPresent(open -> open.report(anomaly, () -> detail.apply(open)));
+    }
+
     /** Handles a piece of a response's body; the body of a refusal or of another call's answer is discarded. */
     void received(ByteBuf data) {
         if (ended || !data.isReadable()) {
@@ -238,6 +265,9 @@
         discardedBytes += data.readableBytes();
         data.release();
         if (discardedBytes > MAX_DISCARDED_BYTES) {
+            if (readingForeignAnswer) {
+                report(AnswerAnomaly.INVALID, open -> "more than " + MAX_DISCARDED_BYTES + " bytes for another call");
+            }
             end(readingForeignAnswer ? TargetResult.FAILED : refusalResult.orElseThrow(), false);
         }
     }
--- a/node/src/test/java/org/heatherhaven/node/RecordedMetricsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/RecordedMetricsTest.java
@@ -11,6 +11,7 @@
 import org.heatherhaven.core.effect.Timing;
 import org.heatherhaven.core.event.OfferKey;
 import org.heatherhaven.core.message.PolicyPull;
+import org.heatherhaven.core.model.AnswerAnomaly;
 import org.heatherhaven.core.model.AttemptKind;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Importance;
@@ -66,6 +67,9 @@
             repeat(2 * length, () -> metrics.count(new Effect.RefuseOffer(KEY, refusal, Signal.withoutOverload(0))));
             repeat(3 * length, () -> metrics.count(new Effect.CountRetry(reason)));
         }
+        for (AnswerAnomaly anomaly : AnswerAnomaly.values()) {
+            repeat(anomaly.ordinal() + 1, () -> metrics.count(new Effect.CountAnomaly(anomaly)));
+        }
         repeat(1, () -> metrics.count(new Effect.ForwardCall(1, 1, PEER, HEAD)));
         TargetRef target = new TargetRef("i-1", "10.0.0.1:80");
         repeat(2, () -> metrics.count(new Effect.RunOffer(KEY, target, "context", Duration.ofMillis(9))));
--- a/node/src/test/java/org/heatherhaven/node/recorded/RecordedConstantsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/recorded/RecordedConstantsTest.java
@@ -14,6 +14,7 @@
 import org.heatherhaven.core.logic.retry.RetryMode;
 import org.heatherhaven.core.logic.routing.RoutingMode;
 import org.heatherhaven.core.message.PermitResponse.Verdict;
+import org.heatherhaven.core.model.AnswerAnomaly;
 import org.heatherhaven.core.model.AttemptKind;
 import org.heatherhaven.core.model.Importance;
 import org.heatherhaven.core.model.LeaseId;
@@ -55,6 +56,7 @@
         add("member-status", MemberStatus.class, MemberStatus::toString);
         add("permit-verdict", Verdict.class, Verdict::toString);
         add("patch-verdict", PatchVerdict.class, verdict -> verdict.name().toLowerCase(Locale.ROOT));
+        add("answer-anomaly", AnswerAnomaly.class, AnswerAnomaly::label);
         add("latency", Timing.class, Timing::label);
         add("admission-setting", AdmissionMode.class, RecordedConstantsTest::inSettings);
         add("routing-setting", RoutingMode.class, RecordedConstantsTest::inSettings);
--- a/node/src/test/java/org/heatherhaven/node/target/ForwardingDialect.java
+++ b/node/src/test/java/org/heatherhaven/node/target/ForwardingDialect.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -32,6 +33,16 @@
         delegate.addTargetHeaders(out, head, target, context, timeout);
     }
 
+    @Override
+    public boolean answersCarryId() {
+        return delegate.answersCarryId();
+    }
+
+    @Override
+    public Optional<String> responseId(HttpHeaders headers) {
+        return delegate.responseId(headers);
+    }
+
     @Override
     public List<Header> responseHeaders(HttpHeaders headers) {
         return delegate.responseHeaders(headers);
--- a/node/src/test/java/org/heatherhaven/node/target/ScriptedTarget.java
+++ b/node/src/test/java/org/heatherhaven/node/target/ScriptedTarget.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Semaphore;
 
 /** A target that answers each request of a connection with the bytes of a script, which may be malformed. */
 final class ScriptedTarget implements AutoCloseable {
@@ -20,12 +21,16 @@
     /** Separates an answer from bytes that are sent repeatedly until the client closes the connection. */
     static final String ENDLESS = "ENDLESS";
 
+    /** Separates the parts of an answer; each further part is sent after a call of {@link #sendNextPart}. */
+    static final String LATER = "LATER";
+
     /** Ends an answer: the connection is reset. */
     static final String RESET = "RESET";
 
     private final ServerSocket listener;
     private final List<List<String>> scripts;
     private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final Semaphore nextPart = new Semaphore(0);
     private volatile int connections;
 
     /**
@@ -58,6 +63,10 @@
         return connections;
     }
 
+    void sendNextPart() {
+        nextPart.release();
+    }
+
     private void accept() {
         try {
             while (true) {
@@ -82,8 +91,7 @@
                 requests.add(readHead(in));
                 String[] parts = answer.split(ENDLESS);
                 String bytes = parts[0].replace(CLOSE, "").replace(RESET, "");
-                out.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-                out.flush();
+                writeParts(out, bytes.split(LATER, -1));
                 while (parts.length > 1) {
                     out.write(parts[1].getBytes(StandardCharsets.ISO_8859_1));
                 }
@@ -102,6 +110,16 @@
         }
     }
 
+    private void writeParts(OutputStream out, String[] parts) throws IOException {
+        for (int i = 0; i < parts.length; i++) {
+            if (i > 0) {
+                nextPart.acquireUninterruptibly();
+            }
+            out.write(parts[i].getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+        }
+    }
+
     private static String readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
--- a/node/src/test/java/org/heatherhaven/node/target/TargetConnectionsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/TargetConnectionsTest.java
@@ -34,7 +34,7 @@
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final TargetConnections connections =
-            new TargetConnections(new Dialect(), group.next(), InstantSource.system());
+            new TargetConnections(new Dialect(), group.next(), InstantSource.system(), event -> {});
 
     /** Recognizes answers to other calls by an {@code Id} header, and a proof that nothing ran by {@code Not-Run}. */
     private static final class Dialect extends ForwardingDialect {
