A refusal of the entry bears the request's own id

What callers saw: a refusal written before a request became a call bore the id "none", so that it looked like the answer to another request. That holds for a full mailbox, a body that is too large by its length or grows too large before the first attempt, an invalid header, a target that is no path, and a head that is too large.

Cause: CallerConnection had no way to read the id of a request that the dialect did not accept as a call, and EntryExchange knew the id only from the head of an attempt. Now the dialect reads the id by itself, as far as the head was read; "none" is left for requests without an id.

--- a/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
@@ -79,6 +79,7 @@
 
     private void handleMalformed(ChannelHandlerContext ctx, HttpObject object) {
         boolean tooLong = object.decoderResult().cause() instanceof TooLongFrameException;
+        String requestId = object instanceof HttpRequest request ? requestId(request) : NO_REQUEST_ID;
         ReferenceCountUtil.release(object);
         Reason reason = tooLong ? Reason.TOO_LARGE : Reason.BAD_REQUEST;
         if (current != null) {
@@ -86,23 +87,31 @@
             ctx.close();
             return;
         }
-        refuseAndClose(ctx, Refusal.notRun(reason, tooLong ? "the head of the request is too large" : "not HTTP/1.1"));
+        String detail = tooLong ? "the head of the request is too large" : "not HTTP/1.1";
+        refuseAndClose(ctx, requestId, Refusal.notRun(reason, detail));
+    }
+
+    /** Returns the identifier of a request as far as its head was read. */
+    private String requestId(HttpRequest request) {
+        return calls.dialect().requestId(request.headers()).orElse(NO_REQUEST_ID);
     }
 
     private void beginCall(ChannelHandlerContext ctx, HttpRequest request) {
+        String requestId = requestId(request);
         if (HttpUtil.getContentLength(request, 0L) > settings.maxBodyBytes()) {
-            refuseAndClose(ctx, Refusal.notRun(Reason.TOO_LARGE, "the body is larger than this node accepts"));
+            refuseAndClose(
+                    ctx, requestId, Refusal.notRun(Reason.TOO_LARGE, "the body is larger than this node accepts"));
             return;
         }
         if (!request.uri().startsWith("/")) {
-            refuseAndClose(ctx, Refusal.notRun(Reason.BAD_REQUEST, "the request target is not a path"));
+            refuseAndClose(ctx, requestId, Refusal.notRun(Reason.BAD_REQUEST, "the request target is not a path"));
             return;
         }
         CallRequest call;
         try {
             call = calls.dialect().readRequest(entryPoint, request.method().name(), request.uri(), request.headers());
         } catch (BadCallException e) {
-            refuseAndClose(ctx, Refusal.notRun(Reason.BAD_REQUEST, e.getMessage()));
+            refuseAndClose(ctx, requestId, Refusal.notRun(Reason.BAD_REQUEST, e.getMessage()));
             return;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -112,6 +121,7 @@
                 HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0;
         EntryExchange exchange = new EntryExchange(
                 calls.nextCallNumber(),
+                requestId,
                 ctx.channel(),
                 calls,
                 bodyExpected,
@@ -121,15 +131,15 @@
         current = exchange;
         if (!calls.register(exchange, entryPoint, call)) {
             current = null;
-            refuseAndClose(ctx, Refusal.notRun(Reason.NODE_OVERLOADED, "this node is overloaded"));
+            refuseAndClose(ctx, requestId, Refusal.notRun(Reason.NODE_OVERLOADED, "this node is overloaded"));
         }
     }
 
     /** Refuses a request that did not become a call, and closes the connection. */
-    private void refuseAndClose(ChannelHandlerContext ctx, Refusal refusal) {
+    private void refuseAndClose(ChannelHandlerContext ctx, String requestId, Refusal refusal) {
         closing = true;
         calls.countRefusal(refusal.reason());
-        ClosingResponse.writeAndClose(ctx.channel(), calls.dialect().writeRefusal(refusal, NO_REQUEST_ID, 0));
+        ClosingResponse.writeAndClose(ctx.channel(), calls.dialect().writeRefusal(refusal, requestId, 0));
     }
 
     /**
--- a/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
@@ -49,6 +49,7 @@
     private static final int STATUS_NOT_MODIFIED = 304;
 
     private final long number;
+    private final String requestId;
     private final Channel channel;
     private final EntryCalls calls;
     private final BiConsumer<EntryExchange, Boolean> onEnded;
@@ -66,6 +67,7 @@
      * Creates the exchange.
      *
      * @param number number of the call
+     * @param requestId identifier of the request for a refusal before the first attempt
      * @param channel the caller's connection
      * @param calls the open calls of this node
      * @param bodyExpected true if the request has a body
@@ -74,12 +76,14 @@
      */
     EntryExchange(
             long number,
+            String requestId,
             Channel channel,
             EntryCalls calls,
             boolean bodyExpected,
             long maxBodyBytes,
             BiConsumer<EntryExchange, Boolean> onEnded) {
         this.number = number;
+        this.requestId = requestId;
         this.channel = channel;
         this.calls = calls;
         this.onEnded = onEnded;
@@ -120,7 +124,7 @@
         Outcome outcome = attempt == 0 ? Outcome.NOT_RUN : Outcome.UNKNOWN;
         Refusal refusal = new Refusal(Reason.TOO_LARGE, outcome, Duration.ZERO, "the body grew beyond the limit");
         calls.countRefusal(Reason.TOO_LARGE);
-        String id = head == null ? "none" : head.requestId();
+        String id = head == null ? requestId : head.requestId();
         keepAlive = false;
         end();
         ClosingResponse.writeAndClose(
--- a/node/src/main/java/org/heatherhaven/node/http/CallDialect.java
+++ b/node/src/main/java/org/heatherhaven/node/http/CallDialect.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -15,6 +16,14 @@
 /** The HTTP conventions between a node and its callers and target: header names, and the form of refusals. */
 public interface CallDialect {
 
+    /**
+     * Returns the identifier that a caller gave its request, for an answer to a request that can't be read as a call.
+     *
+     * @param headers headers of the request, as far as they were read
+     * @return the identifier, or empty if the request has none
+     */
+    Optional<String> requestId(HttpHeaders headers);
+
     /**
      * Reads the head of a call.
      *
--- a/node/src/main/java/org/heatherhaven/node/http/DefaultDialect.java
+++ b/node/src/main/java/org/heatherhaven/node/http/DefaultDialect.java
@@ -43,6 +43,12 @@
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    @Override
+    public Optional<String> requestId(HttpHeaders headers) {
+        // Callers give no identifiers in this dialect; the entry node assigns one to each call.
+        return Optional.empty();
+    }
+
     @Override
     public CallRequest readRequest(EntryPoint entryPoint, String method, String uri, HttpHeaders headers) {
         return new CallRequest(
--- a/node/src/test/java/org/heatherhaven/node/target/ForwardingDialect.java
+++ b/node/src/test/java/org/heatherhaven/node/target/ForwardingDialect.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -22,6 +23,11 @@
         this.delegate = delegate;
     }
 
+    @Override
+    public Optional<String> requestId(HttpHeaders headers) {
+        return delegate.requestId(headers);
+    }
+
     @Override
     public CallRequest readRequest(EntryPoint entryPoint, String method, String uri, HttpHeaders headers) {
         return delegate.readRequest(entryPoint, method, uri, headers);
