A request behind a refused one that closes the connection is dropped

What callers saw: of three pipelined requests the second is refused with Connection: close; the third became a call all the same. Its target could run it, its answer followed the last answer of the connection or was lost with it.

Cause: exchangeEnded processed the whole queue without a look at the flag that the connection closes; channelRead looks at it, but only for what arrives later. Now the rest of the queue is released as soon as a refusal closes the connection. The caller knows from Connection: close that what it sent behind was not read.

Evidence: PipelinedRequestsTest failed before: "expected Optional.empty, saw Optional[CallArrived[call=2, ... id=3". It passes now.

--- a/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
@@ -161,6 +161,10 @@
         ChannelHandlerContext ctx = exchange.channel().pipeline().context(this);
         while (ctx != null && !queued.isEmpty() && !(current != null && queued.peek() instanceof HttpRequest)) {
             process(ctx, queued.poll());
+            if (closing) {
+                // The connection closes after this refusal, so what follows could not be answered.
+                releaseQueued();
+            }
         }
         exchange.channel().config().setAutoRead(queued.size() <= MAX_QUEUED_OBJECTS);
     }
