An attempt lost while it is sent doesn't displace its successor

What callers saw: no wrong answer, but a call that hung until its deadline. With control on several traffic threads, an attempt to a node in its reconnect delay is lost within the call that offers it, and the reducer can start the next attempt within that same call. On return the lost attempt's stream, which discards everything, replaced that of its successor: the rest of the body, the credit for a long answer and the cancellation never reached the target's node.

Cause: EntryExchange.forward stored the stream it got without a look at whether its attempt was still the current one.

Evidence: ReplacedAttemptTest failed before: "expected [OFFER, CANCEL, OFFER], saw [OFFER, OFFER]". It passes now. With one traffic thread, as in deploy/settings.toml, the reducer isn't entered again, so this is not the incident.

--- a/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
@@ -149,8 +149,14 @@
             attempt = effect.attempt();
             head = effect.head();
             AnswerForwarder listener = new AnswerForwarder(effect.attempt());
-            stream = calls.peers().offer(effect.to(), new OfferHead(effect.head(), body.expected()), listener);
-            body.startAttempt(stream);
+            AttemptStream offered =
+                    calls.peers().offer(effect.to(), new OfferHead(effect.head(), body.expected()), listener);
+            if (attempt != effect.attempt() || ended) {
+                // The attempt was lost within the call above, and its loss has started another one or ended the call.
+                return;
+            }
+            stream = offered;
+            body.startAttempt(offered);
         });
     }
 
