Frames that don't form one answer end the attempt

What a caller could see: a piece of the body ahead of the head was dropped and the rest passed on, so that an answer with a piece missing looked whole. A second head, a whole answer or a refusal behind a head was handed to the encoder, which rejects it, or started another attempt, while the first answer stood open on the connection.

Cause: EntryExchange acted on each frame by itself. Now a frame that doesn't fit what was sent to the caller counts as the loss of the attempt: before the head the call can be sent again, after it the connection is closed, so that the answer shows as incomplete.

Evidence: FrameOrderTest plays every short order of frames on loopback. It failed before: "expected Optional[second] after [CHUNK, HEAD, BROKEN_END], saw" nothing; [HEAD, CHUNK, REFUSED] and [HEAD, CHUNK, REPLY] ended incomplete before, too, as the encoder throws. A guard: OfferExchange sends no such order as far as it was read, and the links keep the order.

--- a/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
@@ -216,13 +216,16 @@
 
         private final int attemptNumber;
 
+        /** True once the peer broke the order of an answer's frames; what it sends after that is dropped. */
+        private boolean rejected;
+
         private AnswerForwarder(int attemptNumber) {
             this.attemptNumber = attemptNumber;
         }
 
         private void runIfCurrent(Runnable action, Runnable otherwise) {
             EventLoops.run(channel.eventLoop(), () -> {
-                if (attempt == attemptNumber && !ended) {
+                if (attempt == attemptNumber && !ended && !rejected) {
                     action.run();
                 } else {
                     otherwise.run();
@@ -230,14 +233,33 @@
             });
         }
 
+        /**
+         * Runs an action if the head of the answer has been sent or not, as the frame requires. Otherwise the frames
+         * don't form one answer, so the attempt counts as lost.
+         */
+        private void runInOrder(boolean afterHead, Runnable action, Runnable otherwise) {
+            runIfCurrent(
+                    () -> {
+                        if (headSent == afterHead) {
+                            action.run();
+                            return;
+                        }
+                        otherwise.run();
+                        rejected = true;
+                        stream.cancel();
+                        reportLostAttempt(Outcome.UNKNOWN);
+                    },
+                    otherwise);
+        }
+
         @Override
         public void headReceived(AnswerHead answer) {
-            runIfCurrent(() -> writeHead(answer), () -> {});
+            runInOrder(false, () -> writeHead(answer), () -> {});
         }
 
         @Override
         public void chunkReceived(ByteBuf data) {
-            runIfCurrent(() -> writeChunk(data), data::release);
+            runInOrder(true, () -> writeChunk(data), data::release);
         }
 
         @Override
@@ -252,12 +274,12 @@
 
         @Override
         public void answerReceived(AnswerHead answer, ByteBuf data, Signal signal) {
-            runIfCurrent(() -> writeCompleteAnswer(answer, data, signal), data::release);
+            runInOrder(false, () -> writeCompleteAnswer(answer, data, signal), data::release);
         }
 
         @Override
         public void refused(RefusedHead refused) {
-            runIfCurrent(() -> attemptRefused(refused), () -> {});
+            runInOrder(false, () -> attemptRefused(refused), () -> {});
         }
 
         @Override
