--- /dev/null
+++ b/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
@@ -0,0 +1,135 @@
+package org.heatherhaven.node.target;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioEventLoopGroup;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.heatherhaven.core.effect.Effect.RunOffer;
+import org.heatherhaven.core.event.Event;
+import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.event.TrafficEvent.TargetEnded;
+import org.heatherhaven.core.event.TrafficEvent.TargetResult;
+import org.heatherhaven.core.model.AttemptKind;
+import org.heatherhaven.core.model.CallHead;
+import org.heatherhaven.core.model.Header;
+import org.heatherhaven.core.model.Importance;
+import org.heatherhaven.core.model.Signal;
+import org.heatherhaven.core.model.TargetRef;
+import org.heatherhaven.node.control.Mailbox;
+import org.heatherhaven.node.http.DefaultDialect;
+import org.heatherhaven.node.peer.FlowControl;
+import org.heatherhaven.node.wire.OfferHead;
+
+/**
+ * A peer that took its answer slowly paused the reading of the target's connection after the answer was read: the next
+ * call on that connection got no answer, and bytes that arrived between the two calls stayed unnoticed.
+ */
+class SlowPeerTest {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    private static final CallHead HEAD = new CallHead(
+            "a",
+            "a",
+            "",
+            "GET",
+            "/x",
+            List.of(),
+            "",
+            "s",
+            "r",
+            "",
+            Importance.HIGH,
+            Importance.HIGH,
+            0,
+            1_000,
+            200,
+            0,
+            false,
+            AttemptKind.FIRST,
+            1);
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final TargetConnections connections =
+            new TargetConnections(new DefaultDialect(), group.next(), () -> Instant.EPOCH);
+    private final Mailbox<Event> mailbox = new Mailbox<>(10);
+
+    private static String answer(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static void expect(Object expected, Object actual) {
+        if (!expected.equals(actual)) {
+            throw new AssertionError("expected " + expected + ", saw " + actual);
+        }
+    }
+
+    private Event next() {
+        Optional<Event> event = mailbox.poll();
+        while (event.isEmpty()) {
+            event = mailbox.poll(Duration.ofSeconds(1));
+        }
+        return event.get();
+    }
+
+    @AfterTry
+    void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Example
+    void anAnswerThatWaitsForItsPeerDoesNotPauseTheNextCallOnItsConnection() throws IOException {
+        String longBody = "x".repeat(FlowControl.BODY_WINDOW_BYTES + 1);
+        try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(answer(longBody), answer("two"))))) {
+            OfferKey key = new OfferKey(1, 1);
+            RunOffer run = new RunOffer(key, new TargetRef("i", target.address()), "c", TIMEOUT);
+            // An embedded channel runs everything on the calling thread, like the one event loop of a node.
+            OfferExchange slow =
+                    new OfferExchange(key, new OfferHead(HEAD, false), new EmbeddedChannel(), mailbox, () -> {});
+            slow.run(run, connections);
+            expect(new TargetEnded(key, TargetResult.ANSWERED), next());
+            ResultListener second = new ResultListener();
+            group.submit(() -> {
+                        slow.finish(true, Signal.withoutOverload(0));
+                        connections.send(HEAD, false, run, second);
+                        slow.creditReceived(0);
+                    })
+                    .syncUninterruptibly();
+            expect(TargetResult.ANSWERED, second.result.join());
+            expect(1, target.connections());
+        }
+    }
+
+    private static final class ResultListener implements AnswerListener {
+
+        private final CompletableFuture<TargetResult> result = new CompletableFuture<>();
+
+        @Override
+        public void headReceived(int status, List<Header> headers) {
+            // Only the result is of interest.
+        }
+
+        @Override
+        public void bodyReceived(ByteBuf data) {
+            data.release();
+        }
+
+        @Override
+        public void requestBodyWritten(int bytes) {
+            // The call has no body.
+        }
+
+        @Override
+        public void ended(TargetResult ended) {
+            result.complete(ended);
+        }
+    }
+}
