--- a/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
@@ -49,6 +49,7 @@
     private static final int STATUS_NOT_MODIFIED = 304;
 
     private final long number;
+    private final String requestId;
     private final Channel channel;
     private final EntryCalls calls;
     private final BiConsumer<EntryExchange, Boolean> onEnded;
@@ -66,6 +67,7 @@
      * Creates the exchange.
      *
      * @param number number of the call
+     * @param requestId identifier of the request for a refusal before the first attempt
      * @param channel the caller's connection
      * @param calls the open calls of this node
      * @param bodyExpected true if the request has a body
@@ -74,12 +76,14 @@
      */
     EntryExchange(
             long number,
+            String requestId,
             Channel channel,
             EntryCalls calls,
             boolean bodyExpected,
             long maxBodyBytes,
             BiConsumer<EntryExchange, Boolean> onEnded) {
         this.number = number;
+        this.requestId = requestId;
         this.channel = channel;
         this.calls = calls;
         this.onEnded = onEnded;
@@ -120,7 +124,7 @@
         Outcome outcome = attempt == 0 ? Outcome.NOT_RUN : Outcome.UNKNOWN;
         Refusal refusal = new Refusal(Reason.TOO_LARGE, outcome, Duration.ZERO, "the body grew beyond the limit");
         calls.countRefusal(Reason.TOO_LARGE);
-        String id = head == null ? "none" : head.requestId();
+        String id = head == null ? requestId : head.requestId();
         keepAlive = false;
         end();
         ClosingResponse.writeAndClose(
@@ -145,8 +149,14 @@
             attempt = effect.attempt();
             head = effect.head();
             AnswerForwarder listener = new AnswerForwarder(effect.attempt());
-            stream = calls.peers().offer(effect.to(), new OfferHead(effect.head(), body.expected()), listener);
-            body.startAttempt(stream);
+            AttemptStream offered =
+                    calls.peers().offer(effect.to(), new OfferHead(effect.head(), body.expected()), listener);
+            if (attempt != effect.attempt() || ended) {
+                // The attempt was lost within the call above, and its loss has started another one or ended the call.
+                return;
+            }
+            stream = offered;
+            body.startAttempt(offered);
         });
     }
 
@@ -206,13 +216,16 @@
 
         private final int attemptNumber;
 
+        /** True once the peer broke the order of an answer's frames; what it sends after that is dropped. */
+        private boolean rejected;
+
         private AnswerForwarder(int attemptNumber) {
             this.attemptNumber = attemptNumber;
         }
 
         private void runIfCurrent(Runnable action, Runnable otherwise) {
             EventLoops.run(channel.eventLoop(), () -> {
-                if (attempt == attemptNumber && !ended) {
+                if (attempt == attemptNumber && !ended && !rejected) {
                     action.run();
                 } else {
                     otherwise.run();
@@ -220,14 +233,33 @@
             });
         }
 
+        /**
+         * Runs an action if the head of the answer has been sent or not, as the frame requires. Otherwise the frames
+         * don't form one answer, so the attempt counts as lost.
+         */
+        private void runInOrder(boolean afterHead, Runnable action, Runnable otherwise) {
+            runIfCurrent(
+                    () -> {
+                        if (headSent == afterHead) {
+                            action.run();
+                            return;
+                        }
+                        otherwise.run();
+                        rejected = true;
+                        stream.cancel();
+                        reportLostAttempt(Outcome.UNKNOWN);
+                    },
+                    otherwise);
+        }
+
         @Override
         public void headReceived(AnswerHead answer) {
-            runIfCurrent(() -> writeHead(answer), () -> {});
+            runInOrder(false, () -> writeHead(answer), () -> {});
         }
 
         @Override
         public void chunkReceived(ByteBuf data) {
-            runIfCurrent(() -> writeChunk(data), data::release);
+            runInOrder(true, () -> writeChunk(data), data::release);
         }
 
         @Override
@@ -242,12 +274,12 @@
 
         @Override
         public void answerReceived(AnswerHead answer, ByteBuf data, Signal signal) {
-            runIfCurrent(() -> writeCompleteAnswer(answer, data, signal), data::release);
+            runInOrder(false, () -> writeCompleteAnswer(answer, data, signal), data::release);
         }
 
         @Override
         public void refused(RefusedHead refused) {
-            runIfCurrent(() -> attemptRefused(refused), () -> {});
+            runInOrder(false, () -> attemptRefused(refused), () -> {});
         }
 
         @Override
