--- a/node/src/test/java/org/heatherhaven/node/target/ScriptedTarget.java
+++ b/node/src/test/java/org/heatherhaven/node/target/ScriptedTarget.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Semaphore;
 
 /** A target that answers each request of a connection with the bytes of a script, which may be malformed. */
 final class ScriptedTarget implements AutoCloseable {
@@ -20,12 +21,18 @@
     /** Separates an answer from bytes that are sent repeatedly until the client closes the connection. */
     static final String ENDLESS = "ENDLESS";
 
+    /** Pauses an answer until {@link #resume}. */
+    static final String PAUSE = "PAUSE";
+
     /** Ends an answer: the connection is reset. */
     static final String RESET = "RESET";
 
     private final ServerSocket listener;
     private final List<List<String>> scripts;
     private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final Semaphore resumptions = new Semaphore(0);
+    private final Semaphore endedScripts = new Semaphore(0);
+    private final Semaphore sentParts = new Semaphore(0);
     private volatile int connections;
 
     /**
@@ -58,6 +65,19 @@
         return connections;
     }
 
+    /** Continues the answer that is paused, or the next one that pauses, and waits until the next bytes are sent. */
+    void resume() {
+        sentParts.drainPermits();
+        resumptions.release();
+        sentParts.acquireUninterruptibly();
+    }
+
+    /** Continues the answer that is paused and waits until its connection is closed. */
+    void resumeToTheEnd() {
+        resumptions.release();
+        endedScripts.acquireUninterruptibly();
+    }
+
     private void accept() {
         try {
             while (true) {
@@ -76,30 +96,47 @@
 
     private void serve(Socket socket, List<String> script) {
         try (socket) {
-            InputStream in = socket.getInputStream();
-            OutputStream out = socket.getOutputStream();
-            for (String answer : script) {
-                requests.add(readHead(in));
-                String[] parts = answer.split(ENDLESS);
-                String bytes = parts[0].replace(CLOSE, "").replace(RESET, "");
-                out.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-                out.flush();
-                while (parts.length > 1) {
-                    out.write(parts[1].getBytes(StandardCharsets.ISO_8859_1));
-                }
-                if (answer.endsWith(RESET)) {
-                    socket.setSoLinger(true, 0);
-                    return;
-                }
-                if (answer.endsWith(CLOSE)) {
-                    return;
-                }
-            }
-            in.read();
+            run(socket, script);
         } catch (IOException e) {
             // The node closed the connection, as some scripts expect.
             return;
         }
+        endedScripts.release();
+    }
+
+    private void run(Socket socket, List<String> script) throws IOException {
+        InputStream in = socket.getInputStream();
+        OutputStream out = socket.getOutputStream();
+        for (String answer : script) {
+            requests.add(readHead(in));
+            String[] parts = answer.split(ENDLESS);
+            String bytes = parts[0].replace(CLOSE, "").replace(RESET, "");
+            sendParts(out, bytes);
+            while (parts.length > 1) {
+                out.write(parts[1].getBytes(StandardCharsets.ISO_8859_1));
+            }
+            if (answer.endsWith(RESET)) {
+                socket.setSoLinger(true, 0);
+                return;
+            }
+            if (answer.endsWith(CLOSE)) {
+                return;
+            }
+        }
+        in.read();
+    }
+
+    private void sendParts(OutputStream out, String bytes) throws IOException {
+        boolean first = true;
+        for (String part : bytes.split(PAUSE, -1)) {
+            if (!first) {
+                resumptions.acquireUninterruptibly();
+            }
+            first = false;
+            out.write(part.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+            sentParts.release();
+        }
     }
 
     private static String readHead(InputStream in) throws IOException {
