--- a/node/src/test/java/org/heatherhaven/node/target/AnswersOfOtherCallsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/AnswersOfOtherCallsTest.java
@@ -47,7 +47,7 @@
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final TargetConnections connections =
-            new TargetConnections(new Dialect(), group.next(), InstantSource.system());
+            new TargetConnections(new Dialect(), group.next(), InstantSource.system(), seen -> {});
 
     /** Recognizes answers to other calls by an {@code Id} header, and a proof that nothing ran by {@code Not-Run}. */
     private static final class Dialect extends ForwardingDialect {
@@ -183,10 +183,10 @@
     @Property(generation = GenerationMode.EXHAUSTIVE, shrinking = ShrinkingMode.OFF)
     void aSecondCopyBegunWhileIdleDoesNotReachTheNextCall(@ForAll @IntRange(min = 1, max = PREFIXES) int cut)
             throws IOException {
-        String answerThenCopy = answer("a", "one") + ScriptedTarget.PAUSE + COPY.substring(0, cut);
+        String answerThenCopy = answer("a", "one") + ScriptedTarget.LATER + COPY.substring(0, cut);
         try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(answerThenCopy, FAILURE), List.of(FAILURE)))) {
             expect(new Outcome(TargetResult.ANSWERED, 200, "one"), call(target, "a"));
-            target.resume();
+            target.sendNextPartAndWait();
             awaitReads();
             expect(FAILED_AT_TARGET, call(target, "b"));
             expect(2, target.connections());
@@ -218,11 +218,11 @@
 
     @Example
     void bytesThatDoNotDecodeCloseAnIdleConnection() throws IOException {
-        String answerThenBlankLine = answer("a", "one") + ScriptedTarget.PAUSE + "\r\n";
+        String answerThenBlankLine = answer("a", "one") + ScriptedTarget.LATER + "\r\n";
         try (ScriptedTarget target = new ScriptedTarget(
                 List.of(List.of(answerThenBlankLine, answer("b", "two")), List.of(answer("b", "two"))))) {
             call(target, "a");
-            target.resume();
+            target.sendNextPartAndWait();
             awaitReads();
             expect(new Outcome(TargetResult.ANSWERED, 200, "two"), call(target, "b"));
             expect(2, target.connections());
@@ -251,14 +251,14 @@
 
     @Example
     void anAnswerWithoutLengthIsIncompleteIfAWriteOfTheRequestFails() throws IOException {
-        String unframed = "HTTP/1.1 200 OK\r\nId: a\r\n\r\nabc" + ScriptedTarget.PAUSE + ScriptedTarget.RESET;
+        String unframed = "HTTP/1.1 200 OK\r\nId: a\r\n\r\nabc" + ScriptedTarget.LATER + ScriptedTarget.RESET;
         try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(unframed)))) {
             Listener listener = new Listener(result -> {});
             TargetExchange exchange = send(target, "POST", "a", true, listener);
             listener.firstBytes.join();
             exchange.setReading(false);
             awaitReads();
-            target.resumeToTheEnd();
+            target.sendLastPartAndWait();
             exchange.addBody(Unpooled.copiedBuffer("x".repeat(100), StandardCharsets.ISO_8859_1));
             expect(TargetResult.FAILED, listener.outcome.join().result());
         }
--- a/node/src/test/java/org/heatherhaven/node/target/ScriptedTarget.java
+++ b/node/src/test/java/org/heatherhaven/node/target/ScriptedTarget.java
@@ -21,8 +21,8 @@
     /** Separates an answer from bytes that are sent repeatedly until the client closes the connection. */
     static final String ENDLESS = "ENDLESS";
 
-    /** Pauses an answer until {@link #resume}. */
-    static final String PAUSE = "PAUSE";
+    /** Separates the parts of an answer; each further part is sent after a call of {@link #sendNextPart}. */
+    static final String LATER = "LATER";
 
     /** Ends an answer: the connection is reset. */
     static final String RESET = "RESET";
@@ -30,7 +30,7 @@
     private final ServerSocket listener;
     private final List<List<String>> scripts;
     private final List<String> requests = new CopyOnWriteArrayList<>();
-    private final Semaphore resumptions = new Semaphore(0);
+    private final Semaphore nextPart = new Semaphore(0);
     private final Semaphore endedScripts = new Semaphore(0);
     private final Semaphore sentParts = new Semaphore(0);
     private volatile int connections;
@@ -65,16 +65,20 @@
         return connections;
     }
 
-    /** Continues the answer that is paused, or the next one that pauses, and waits until the next bytes are sent. */
-    void resume() {
+    void sendNextPart() {
+        nextPart.release();
+    }
+
+    /** Sends the next part and waits until it is sent. */
+    void sendNextPartAndWait() {
         sentParts.drainPermits();
-        resumptions.release();
+        sendNextPart();
         sentParts.acquireUninterruptibly();
     }
 
-    /** Continues the answer that is paused and waits until its connection is closed. */
-    void resumeToTheEnd() {
-        resumptions.release();
+    /** Sends the last part of a script and waits until its connection is closed. */
+    void sendLastPartAndWait() {
+        sendNextPart();
         endedScripts.acquireUninterruptibly();
     }
 
@@ -128,9 +132,9 @@
 
     private void sendParts(OutputStream out, String bytes) throws IOException {
         boolean first = true;
-        for (String part : bytes.split(PAUSE, -1)) {
+        for (String part : bytes.split(LATER, -1)) {
             if (!first) {
-                resumptions.acquireUninterruptibly();
+                nextPart.acquireUninterruptibly();
             }
             first = false;
             out.write(part.getBytes(StandardCharsets.ISO_8859_1));
