--- a/node/src/test/java/org/heatherhaven/node/entry/IdentifyingDialect.java
+++ b/node/src/test/java/org/heatherhaven/node/entry/IdentifyingDialect.java
@@ -57,6 +57,16 @@
         return base.classifyResponse(head, status, headers);
     }
 
+    @Override
+    public boolean answersCarryId() {
+        return base.answersCarryId();
+    }
+
+    @Override
+    public Optional<String> responseId(HttpHeaders headers) {
+        return base.responseId(headers);
+    }
+
     @Override
     public List<Header> responseHeaders(HttpHeaders headers) {
         return base.responseHeaders(headers);
--- a/node/src/test/java/org/heatherhaven/node/target/AnswersOfOtherCallsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/AnswersOfOtherCallsTest.java
@@ -5,7 +5,9 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -22,6 +24,7 @@
 import net.jqwik.api.lifecycle.AfterProperty;
 import org.heatherhaven.core.effect.Effect.RunOffer;
 import org.heatherhaven.core.event.OfferKey;
+import org.heatherhaven.core.event.TrafficEvent.TargetAnomalySeen;
 import org.heatherhaven.core.event.TrafficEvent.TargetResult;
 import org.heatherhaven.core.model.AttemptKind;
 import org.heatherhaven.core.model.CallHead;
@@ -46,8 +49,9 @@
     private static final Outcome FAILED_AT_TARGET = new Outcome(TargetResult.ANSWERED, 500, "failed");
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final BlockingQueue<TargetAnomalySeen> seen = new LinkedBlockingQueue<>();
     private final TargetConnections connections =
-            new TargetConnections(new Dialect(), group.next(), InstantSource.system(), seen -> {});
+            new TargetConnections(new Dialect(), group.next(), InstantSource.system(), seen::add);
 
     /** Recognizes answers to other calls by an {@code Id} header, and a proof that nothing ran by {@code Not-Run}. */
     private static final class Dialect extends ForwardingDialect {
@@ -140,10 +144,14 @@
         return call(target, "GET", id);
     }
 
-    /** Waits until the event loop has read what had arrived before. */
-    private void awaitReads() {
-        for (int i = 0; i < 2; i++) {
-            group.submit(() -> {}).syncUninterruptibly();
+    /** Sends the next part of an answer on an idle connection and waits until the node has read it. */
+    private void sendWhileIdle(ScriptedTarget target) {
+        seen.clear();
+        target.sendNextPart();
+        try {
+            seen.take();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
         }
     }
 
@@ -186,8 +194,7 @@
         String answerThenCopy = answer("a", "one") + ScriptedTarget.LATER + COPY.substring(0, cut);
         try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(answerThenCopy, FAILURE), List.of(FAILURE)))) {
             expect(new Outcome(TargetResult.ANSWERED, 200, "one"), call(target, "a"));
-            target.sendNextPartAndWait();
-            awaitReads();
+            sendWhileIdle(target);
             expect(FAILED_AT_TARGET, call(target, "b"));
             expect(2, target.connections());
         }
@@ -222,8 +229,7 @@
         try (ScriptedTarget target = new ScriptedTarget(
                 List.of(List.of(answerThenBlankLine, answer("b", "two")), List.of(answer("b", "two"))))) {
             call(target, "a");
-            target.sendNextPartAndWait();
-            awaitReads();
+            sendWhileIdle(target);
             expect(new Outcome(TargetResult.ANSWERED, 200, "two"), call(target, "b"));
             expect(2, target.connections());
         }
@@ -257,9 +263,11 @@
             TargetExchange exchange = send(target, "POST", "a", true, listener);
             listener.firstBytes.join();
             exchange.setReading(false);
-            awaitReads();
-            target.sendLastPartAndWait();
-            exchange.addBody(Unpooled.copiedBuffer("x".repeat(100), StandardCharsets.ISO_8859_1));
+            target.sendNextPart();
+            while (!listener.outcome.isDone()) {
+                exchange.addBody(Unpooled.copiedBuffer("x".repeat(100), StandardCharsets.ISO_8859_1));
+                group.submit(() -> {}).syncUninterruptibly();
+            }
             expect(TargetResult.FAILED, listener.outcome.join().result());
         }
     }
--- a/node/src/test/java/org/heatherhaven/node/target/ScriptedTarget.java
+++ b/node/src/test/java/org/heatherhaven/node/target/ScriptedTarget.java
@@ -31,8 +31,6 @@
     private final List<List<String>> scripts;
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private final Semaphore nextPart = new Semaphore(0);
-    private final Semaphore endedScripts = new Semaphore(0);
-    private final Semaphore sentParts = new Semaphore(0);
     private volatile int connections;
 
     /**
@@ -69,19 +67,6 @@
         nextPart.release();
     }
 
-    /** Sends the next part and waits until it is sent. */
-    void sendNextPartAndWait() {
-        sentParts.drainPermits();
-        sendNextPart();
-        sentParts.acquireUninterruptibly();
-    }
-
-    /** Sends the last part of a script and waits until its connection is closed. */
-    void sendLastPartAndWait() {
-        sendNextPart();
-        endedScripts.acquireUninterruptibly();
-    }
-
     private void accept() {
         try {
             while (true) {
@@ -100,46 +85,38 @@
 
     private void serve(Socket socket, List<String> script) {
         try (socket) {
-            run(socket, script);
+            InputStream in = socket.getInputStream();
+            OutputStream out = socket.getOutputStream();
+            for (String answer : script) {
+                requests.add(readHead(in));
+                String[] parts = answer.split(ENDLESS);
+                String bytes = parts[0].replace(CLOSE, "").replace(RESET, "");
+                writeParts(out, bytes.split(LATER, -1));
+                while (parts.length > 1) {
+                    out.write(parts[1].getBytes(StandardCharsets.ISO_8859_1));
+                }
+                if (answer.endsWith(RESET)) {
+                    socket.setSoLinger(true, 0);
+                    return;
+                }
+                if (answer.endsWith(CLOSE)) {
+                    return;
+                }
+            }
+            in.read();
         } catch (IOException e) {
             // The node closed the connection, as some scripts expect.
             return;
         }
-        endedScripts.release();
-    }
-
-    private void run(Socket socket, List<String> script) throws IOException {
-        InputStream in = socket.getInputStream();
-        OutputStream out = socket.getOutputStream();
-        for (String answer : script) {
-            requests.add(readHead(in));
-            String[] parts = answer.split(ENDLESS);
-            String bytes = parts[0].replace(CLOSE, "").replace(RESET, "");
-            sendParts(out, bytes);
-            while (parts.length > 1) {
-                out.write(parts[1].getBytes(StandardCharsets.ISO_8859_1));
-            }
-            if (answer.endsWith(RESET)) {
-                socket.setSoLinger(true, 0);
-                return;
-            }
-            if (answer.endsWith(CLOSE)) {
-                return;
-            }
-        }
-        in.read();
     }
 
-    private void sendParts(OutputStream out, String bytes) throws IOException {
-        boolean first = true;
-        for (String part : bytes.split(LATER, -1)) {
-            if (!first) {
+    private void writeParts(OutputStream out, String[] parts) throws IOException {
+        for (int i = 0; i < parts.length; i++) {
+            if (i > 0) {
                 nextPart.acquireUninterruptibly();
             }
-            first = false;
-            out.write(part.getBytes(StandardCharsets.ISO_8859_1));
+            out.write(parts[i].getBytes(StandardCharsets.ISO_8859_1));
             out.flush();
-            sentParts.release();
         }
     }
 
--- a/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
@@ -59,7 +59,7 @@
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final TargetConnections connections =
-            new TargetConnections(new DefaultDialect(), group.next(), () -> Instant.EPOCH);
+            new TargetConnections(new DefaultDialect(), group.next(), () -> Instant.EPOCH, seen -> {});
     private final Mailbox<Event> mailbox = new Mailbox<>(10);
 
     private static String answer(String body) {
