A target's connection is used again only at the end of a response, with no byte left

Callers got the status of another call's answer with a body of their own: a target that answers twice sent the beginning of a second copy behind a whole answer, or while the connection was idle. Bytes that form no whole head stayed in the decoder unseen, and the next call's answer continued them. Cut in the reason or in a header's value, the copy's 200 went out with the body of a 500; cut elsewhere, the next call failed or hung.

Bytes left in the decoder at the end of a call keep the connection out of the pool now, and any byte received without a call in progress takes it out, whether it decodes or not. It is closed at the end of the read, so that the report still names the response the bytes belong to. A call that starts within the end of another finds no connection with bytes in its decoder.

--- a/core/src/main/java/org/heatherhaven/core/model/AnswerAnomaly.java
+++ b/core/src/main/java/org/heatherhaven/core/model/AnswerAnomaly.java
@@ -7,11 +7,11 @@
  * logged and names a metric.
  */
 public enum AnswerAnomaly {
-    /** Bytes arrived on an idle connection and form no complete response head yet; the connection stays open. */
+    /** Bytes arrived on an idle connection and form no complete response head; the connection was closed. */
     IDLE_BYTES,
     /** Bytes that arrived between two calls were decoded as a response; the connection was closed. */
     IDLE_RESPONSE,
-    /** Bytes were left in the decoder when a call ended on a connection that is used again. */
+    /** Bytes were left in the decoder when a call ended; the connection was closed. */
     LEFTOVER_BYTES,
     /** A response that bears the id of another call was skipped. */
     OTHER_CALL,
--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
@@ -67,9 +67,9 @@
     private String lastRequestId = "none";
 
     private Instant requestSentAt = Instant.MIN;
-    /** True while the connection waits in the pool; a response that is decoded then answers no call. */
-    private boolean pooled;
-    /** Bytes received since the connection was returned to the pool. */
+    /** True from the end of a call on, until the next call or the close; a response decoded then answers no call. */
+    private boolean betweenCalls;
+    /** Bytes received since the end of the last call. */
     private int idleBytes;
 
     TargetConnection(TargetRef target, TargetConnections pool, CallDialect dialect, InstantSource clock) {
@@ -105,7 +105,7 @@
     void start(TargetExchange exchange) {
         current = Optional.of(exchange);
         interimResponses = 0;
-        pooled = false;
+        betweenCalls = false;
         reported.clear();
         lastRequestId = exchange.head().requestId();
         requestSentAt = clock.instant();
@@ -161,17 +161,24 @@
         setReading(true);
         idleSince = clock.instant();
         idleBytes = 0;
-        pooled = true;
+        betweenCalls = true;
         if (decoder.undecodedBytes() > 0) {
             report(
                     AnswerAnomaly.LEFTOVER_BYTES,
                     () -> decoder.undecodedBytes() + " bytes after the end of the response, " + sinceRequest());
+            closeAfterRead();
+            return;
         }
         pool.idle(this);
     }
 
+    /** Closes a connection that is not in the pool, after the bytes read with the present ones are reported. */
+    private void closeAfterRead() {
+        channel.eventLoop().execute(this::close);
+    }
+
     void close() {
-        pooled = false;
+        betweenCalls = false;
         channel.close();
     }
 
@@ -215,15 +222,21 @@
                 report(AnswerAnomaly.BROKEN_OFF, () -> cause + ", " + describe(response) + ", " + sinceRequest()));
     }
 
+    /** Takes the connection out of the pool if no call is in progress: the bytes belong to no answer to come. */
     private void bytesReceived(int bytes) {
-        if (pooled) {
-            idleBytes += bytes;
+        if (current.isPresent()) {
+            return;
+        }
+        if (idleBytes == 0) {
+            pool.remove(this);
+            closeAfterRead();
         }
+        idleBytes += bytes;
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (pooled && idleBytes > 0) {
+        if (betweenCalls && idleBytes > 0) {
             report(AnswerAnomaly.IDLE_BYTES, () -> idleTime() + ", not decoded yet");
         }
         ctx.fireChannelReadComplete();
@@ -277,10 +290,10 @@
     }
 
     private void reportIdleObject(HttpObject message) {
-        if (!pooled || !channel.isActive()) {
+        if (!betweenCalls || !channel.isActive()) {
             return;
         }
-        pooled = false;
+        betweenCalls = false;
         report(AnswerAnomaly.IDLE_RESPONSE, () -> {
             boolean valid = message.decoderResult().isSuccess();
             return (valid && message instanceof HttpResponse response ? describe(response) : "not HTTP") + ", "
@@ -317,7 +330,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        pool.connectionClosed(this);
+        pool.remove(this);
         reportBrokenOff("connection closed");
         current.ifPresent(TargetExchange::fail);
     }
--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
@@ -135,8 +135,8 @@
         idle.addFirst(connection);
     }
 
-    /** Removes a closed connection from the idle ones. */
-    void connectionClosed(TargetConnection connection) {
+    /** Removes a connection that is closed, or will be, from the idle ones. */
+    void remove(TargetConnection connection) {
         idle.remove(connection);
     }
 
