A response whose head continues with another status line fails the call

Callers got the status of another call's answer with a body of their own also where the second copy of an answer began only after the next request was sent, and was cut off: the true answer then continues its head. Where the cut lies in the reason or in a header's value the whole head decodes, with the copy's status and the call's own id. In a header's name the decoder rejects the status line's slash, and elsewhere two ids or two lengths meet.

A status line within the reason or a header's value now makes the response invalid; the call fails as after any invalid response, and the connection is closed.

--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
@@ -265,6 +265,13 @@
             return;
         }
         if (object instanceof HttpResponse response) {
+            if (MergedHeads.isMerged(response)) {
+                report(
+                        AnswerAnomaly.INVALID,
+                        () -> "another response begins in the head, " + describe(response) + ", " + sinceRequest());
+                exchange.fail();
+                return;
+            }
             readingInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             if (readingInterim) {
                 countInterimResponse(exchange);
--- a/node/src/test/java/org/heatherhaven/node/target/TargetAnomaliesTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/TargetAnomaliesTest.java
@@ -286,6 +286,8 @@
         failsWith(head("a") + ScriptedTarget.ENDLESS + "X-Again: and again\r\n", "over a limit");
         failsWith(head("a") + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "not HTTP", "status 200", "chunked");
         failsWith("HTTP/1.1 102 Processing\r\n\r\n".repeat(17), "17 interim responses");
+        failsWith("HTTP/1.1 200 OHTTP/1.1 500 Oops\r\nId: a\r\n\r\n", "another response begins in the head");
+        failsWith(head("a") + "X: yHTTP/1.0 500 Oops\r\n\r\n", "another response begins in the head", "status 200");
     }
 
     @Example
