The answer to HEAD has no body, also after an answer to another call

A caller of HEAD could get the bytes behind its answer as a body: the codec paired the request's method with the first response, which was another call's late answer, and read the call's own as the answer to a request of any other method.

The method of the request now holds for every response to it. A late answer with a body to a HEAD call is not skipped whole any more; its body is no response, so the call fails.

--- a/node/src/main/java/org/heatherhaven/node/target/TargetResponseDecoder.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetResponseDecoder.java
@@ -20,8 +20,8 @@
     private static final int MAX_CHUNK_BYTES = 32 * 1024;
 
     private final IntConsumer onBytes;
-    /** Method of the request whose response is expected next; empty once its head was decoded. */
-    private Optional<HttpMethod> expected = Optional.empty();
+    /** Method of the request sent last; empty before the first. */
+    private Optional<HttpMethod> requested = Optional.empty();
 
     /**
      * Creates the decoder of one connection.
@@ -33,9 +33,12 @@
         this.onBytes = onBytes;
     }
 
-    /** Announces the response to a request of the given method, which decides whether the response has a body. */
+    /**
+     * Announces the responses to a request of the given method, which decides whether they have a body. It holds for
+     * each of them: the response to the request may come after one to another call.
+     */
     void expectResponse(HttpMethod method) {
-        expected = Optional.of(method);
+        requested = Optional.of(method);
     }
 
     /** Returns the number of bytes received and not yet decoded. */
@@ -57,10 +60,8 @@
         if (status.codeClass() == HttpStatusClass.INFORMATIONAL) {
             return super.isContentAlwaysEmpty(message);
         }
-        Optional<HttpMethod> method = expected;
-        expected = Optional.empty();
-        boolean bodiless = method.filter(HttpMethod.HEAD::equals).isPresent()
-                || method.filter(HttpMethod.CONNECT::equals).isPresent() && status.equals(HttpResponseStatus.OK);
+        boolean bodiless = requested.filter(HttpMethod.HEAD::equals).isPresent()
+                || requested.filter(HttpMethod.CONNECT::equals).isPresent() && status.equals(HttpResponseStatus.OK);
         return bodiless || super.isContentAlwaysEmpty(message);
     }
 }
