What arrives of a body between two attempts is kept for the next one

What targets saw: a request without the beginning of its body, or with none at all. An attempt was refused or lost, and before the next one began more of the body arrived. It was sent to the ended attempt, where it was discarded; if the body thereby grew beyond the 64 KiB that stay buffered, the bytes sent were dropped although the attempt had been reported as one that can be sent again. The next attempt then sent what was left. The caller got the answer to another body than its own.

Cause: RequestBody went on sending to the stream of an attempt that had ended. Now EntryExchange ends the attempt before it reports it, and what arrives until the next one starts is only buffered. The same holds for an attempt that is lost within the call that offers it, and an ended attempt's late frames are dropped by the same flag.

--- a/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
@@ -60,6 +60,10 @@
     private boolean flushScheduled;
     private boolean ended;
     private int attempt;
+
+    /** True from the start of the current attempt until it answers, is refused or is lost. */
+    private boolean attemptOpen;
+
     private AttemptStream stream;
     private CallHead head;
 
@@ -147,12 +151,13 @@
                 return;
             }
             attempt = effect.attempt();
+            attemptOpen = true;
             head = effect.head();
             AnswerForwarder listener = new AnswerForwarder(effect.attempt());
             AttemptStream offered =
                     calls.peers().offer(effect.to(), new OfferHead(effect.head(), body.expected()), listener);
-            if (attempt != effect.attempt() || ended) {
-                // The attempt was lost within the call above, and its loss has started another one or ended the call.
+            if (attempt != effect.attempt() || !attemptOpen) {
+                // The attempt was lost within the call above, and its loss may have started another one.
                 return;
             }
             stream = offered;
@@ -203,6 +208,12 @@
         });
     }
 
+    /** Ends an attempt that did not answer; what arrives of the request's body is kept for the next one. */
+    private void endAttempt() {
+        attemptOpen = false;
+        body.endAttempt();
+    }
+
     private void end() {
         ended = true;
         body.release();
@@ -216,16 +227,13 @@
 
         private final int attemptNumber;
 
-        /** True once the peer broke the order of an answer's frames; what it sends after that is dropped. */
-        private boolean rejected;
-
         private AnswerForwarder(int attemptNumber) {
             this.attemptNumber = attemptNumber;
         }
 
         private void runIfCurrent(Runnable action, Runnable otherwise) {
             EventLoops.run(channel.eventLoop(), () -> {
-                if (attempt == attemptNumber && !ended && !rejected) {
+                if (attempt == attemptNumber && attemptOpen && !ended) {
                     action.run();
                 } else {
                     otherwise.run();
@@ -245,7 +253,6 @@
                             return;
                         }
                         otherwise.run();
-                        rejected = true;
                         stream.cancel();
                         reportLostAttempt(Outcome.UNKNOWN);
                     },
@@ -357,6 +364,7 @@
         if (!headSent) {
             // The answer broke off before its head: nothing was sent to the caller, so the call can still be refused.
             Refusal refusal = Refusal.unknown(Reason.TARGET_FAILED, "the target broke off before it answered");
+            endAttempt();
             calls.post(new AttemptRefused(number, attempt, refusal, answerEnd.signal(), body.resendable()));
             return;
         }
@@ -380,6 +388,7 @@
     }
 
     private void attemptRefused(RefusedHead refused) {
+        endAttempt();
         calls.post(new AttemptRefused(number, attempt, refused.refusal(), refused.signal(), body.resendable()));
     }
 
@@ -391,6 +400,7 @@
             channel.close();
             return;
         }
+        endAttempt();
         calls.post(new AttemptLost(number, attempt, outcome, body.resendable()));
     }
 }
--- a/node/src/main/java/org/heatherhaven/node/entry/RequestBody.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/RequestBody.java
@@ -77,6 +77,12 @@
         sendAvailable();
     }
 
+    /** Keeps what arrives from now on for the next attempt, as the current one has ended. */
+    void endAttempt() {
+        stream = null;
+        sentBytes = 0;
+    }
+
     /** Enlarges the window of the current attempt. */
     void credit(int bytes) {
         window += bytes;
--- a/node/src/test/java/org/heatherhaven/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/heatherhaven/node/entry/EntryFixture.java
@@ -8,7 +8,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +22,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -48,6 +51,9 @@
  */
 final class EntryFixture implements AutoCloseable {
 
+    /** A node at whose address nothing listens. */
+    static final NodeId UNREACHABLE = new NodeId("127.0.0.1:1");
+
     static final int MAX_HEADER_BYTES = 4096;
     static final int MAX_BODY_BYTES = 10_000;
 
@@ -59,6 +65,8 @@
     private final NioEventLoopGroup linkGroup = new NioEventLoopGroup(1);
     private final List<FrameType> received = new CopyOnWriteArrayList<>();
     private final Semaphore offers = new Semaphore(0);
+    private final Map<Long, Integer> bodyBytes = new ConcurrentHashMap<>();
+    private final Semaphore bodyEnds = new Semaphore(0);
     private final Mailbox<Event> mailbox;
     private final EntryCalls calls;
     private final Channel callerListener;
@@ -142,6 +150,18 @@
         callerGroup.submit(() -> {}).syncUninterruptibly();
     }
 
+    /** Creates a caller's connection whose requests the test passes in as HTTP objects. */
+    EmbeddedChannel embeddedCaller(long maxBodyBytes) {
+        EntrySettings entry = new EntrySettings(MAX_HEADER_BYTES, maxBodyBytes, 10);
+        return new EmbeddedChannel(new CallerConnection(EntryPoint.CALLER, entry, calls));
+    }
+
+    /** Waits for the end of a request's body, and returns the number of body bytes that the peer received on a stream. */
+    int awaitBody(long stream) {
+        bodyEnds.acquireUninterruptibly();
+        return bodyBytes.getOrDefault(stream, 0);
+    }
+
     /** Opens a caller's connection and sends bytes on it. */
     Socket send(String bytes) throws IOException {
         Socket socket = new Socket(
@@ -200,7 +220,11 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
             received.add(frame.type());
+            bodyBytes.merge(frame.stream(), frame.data().readableBytes(), Integer::sum);
             frame.data().release();
+            if (frame.type() == FrameType.BODY_END) {
+                bodyEnds.release();
+            }
             if (frame.type() == FrameType.OFFER) {
                 script.apply(frame.stream(), (OfferHead) frame.payload()).forEach(ctx::write);
                 ctx.flush();
--- a/node/src/test/java/org/heatherhaven/node/entry/ReplacedAttemptTest.java
+++ b/node/src/test/java/org/heatherhaven/node/entry/ReplacedAttemptTest.java
@@ -8,7 +8,6 @@
 import org.heatherhaven.core.effect.Effect.CancelAttempt;
 import org.heatherhaven.core.event.TrafficEvent.AttemptLost;
 import org.heatherhaven.core.event.TrafficEvent.CallArrived;
-import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.node.wire.FrameType;
 
 /**
@@ -17,8 +16,6 @@
  */
 class ReplacedAttemptTest {
 
-    private static final NodeId UNREACHABLE = new NodeId("127.0.0.1:1");
-
     private static void expect(Object expected, Object actual) {
         if (!expected.equals(actual)) {
             throw new AssertionError("expected " + expected + ", saw " + actual);
@@ -30,7 +27,7 @@
         try (EntryFixture entry = new EntryFixture(10, (stream, head) -> List.of())) {
             Socket caller = entry.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
             long call = ((CallArrived) entry.next()).call();
-            entry.calls().forward(EntryFixture.forward(call, 1, UNREACHABLE, "1"));
+            entry.calls().forward(EntryFixture.forward(call, 1, EntryFixture.UNREACHABLE, "1"));
             expect(AttemptLost.class, entry.next().getClass());
             // From now on events are handled on the thread that posts them, as with shared threads.
             entry.mailbox()
@@ -39,7 +36,7 @@
                             .filter(event -> event instanceof AttemptLost lost && lost.attempt() == 2)
                             .ifPresent(
                                     lost -> entry.calls().forward(EntryFixture.forward(call, 3, entry.peer(), "1"))));
-            entry.calls().forward(EntryFixture.forward(call, 2, UNREACHABLE, "1"));
+            entry.calls().forward(EntryFixture.forward(call, 2, EntryFixture.UNREACHABLE, "1"));
             entry.calls().cancel(new CancelAttempt(call, 3));
             entry.calls().forward(EntryFixture.forward(call, 4, entry.peer(), "1"));
             entry.awaitOffers(2);
