Frames of an offered call are not dropped while a link is opened

What a target could see: a request body with a gap. While a connection between nodes waited for its handshake, a frame beyond the 10,000 queued was dropped, whatever it was; after the handshake the later frames of the same call were sent. A dropped cancellation left a call running that nobody waited for.

Cause: PeerLink.write held the limit against every frame.

Evidence: UnsentFramesTest failed before: "expected [OFFER, CHUNK, BODY_END], saw [OFFER, BODY_END]". It passes now.

--- a/node/src/main/java/org/heatherhaven/node/peer/PeerLink.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/PeerLink.java
@@ -48,7 +48,10 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(PeerLink.class);
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_000);
 
-    /** Limit of frames queued until the handshake is complete; further frames are dropped, further calls fail. */
+    /**
+     * Limit of frames queued until the handshake is complete; further control messages are dropped, further calls fail.
+     * Frames of a call that was offered are queued beyond it, as a body with a gap must not be sent.
+     */
     private static final int MAX_UNSENT_FRAMES = 10_000;
 
     private final NodeId peer;
@@ -142,11 +145,11 @@
 
     /** Writes a frame, queues it before the handshake is complete, or drops it. Called on the event loop. */
     void write(Frame frame) {
-        if (terminated || (!authenticated && unsentFrames.size() >= MAX_UNSENT_FRAMES)) {
+        if (terminated) {
             frame.data().release();
         } else if (authenticated) {
             channel.writeAndFlush(frame).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-        } else {
+        } else if (!frame.type().isControl() || unsentFrames.size() < MAX_UNSENT_FRAMES) {
             unsentFrames.add(frame);
         }
     }
