--- a/node/src/test/java/org/heatherhaven/node/entry/IdentifyingDialect.java
+++ b/node/src/test/java/org/heatherhaven/node/entry/IdentifyingDialect.java
@@ -52,16 +52,6 @@
         base.addTargetHeaders(out, head, target, context, timeout);
     }
 
-    @Override
-    public boolean answersCarryId() {
-        return base.answersCarryId();
-    }
-
-    @Override
-    public Optional<String> responseId(HttpHeaders headers) {
-        return base.responseId(headers);
-    }
-
     @Override
     public ResponseVerdict classifyResponse(CallHead head, int status, HttpHeaders headers) {
         return base.classifyResponse(head, status, headers);
