One connection for each call to the platform

The client of the product's own object API had the same fault as that of the users' store: a second copy of an answer on a kept connection was taken for the answer to the next call, so that an object was read under another's key, a refused update passed for done, and a waiting list of policy versions passed for empty, which confirms a policy that is out of date.

Why it works: a connection that carries one request holds no other answer.

--- a/node/src/main/java/org/heatherhaven/node/platform/HttpPlatform.java
+++ b/node/src/main/java/org/heatherhaven/node/platform/HttpPlatform.java
@@ -42,7 +42,7 @@
     private final AsyncHttpClient client;
 
     /**
-     * Creates a client; connections are opened by the first calls.
+     * Creates a client; each call opens a connection of its own.
      *
      * @param baseUrl base URL of the platform
      * @param timeout limit for connecting and for each response; a waiting list adds its waiting time
@@ -58,6 +58,10 @@
                 .setEventLoopGroup(group)
                 .setConnectTimeout(timeout)
                 .setMaxConnections(MAX_CONNECTIONS)
+                // A response does not name its request, so a second copy of an earlier one on a kept connection would
+                // be
+                // taken for the response to the next call.
+                .setKeepAlive(false)
                 // If the HTTP client retried a conditional write by itself, the result of the first attempt would look
                 // like a write of another node.
                 .setMaxRequestRetry(0)
