Replies to pipelined page requests in their order

Two requests sent on one connection of the page server (operators, readiness, reports of targets) without waiting got each other's replies if the second was handled first: each reply was written when it was ready, while HTTP pairs them by order.

Why it works: a reply is written only after all earlier ones of its connection. That a target or an operator pipelines such requests is not shown.

--- a/node/src/main/java/org/heatherhaven/node/http/PageServer.java
+++ b/node/src/main/java/org/heatherhaven/node/http/PageServer.java
@@ -1,6 +1,7 @@
 package org.heatherhaven.node.http;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -73,6 +74,9 @@
 
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
+        /** Completes once the replies to all requests before the next one are written: HTTP pairs them by order. */
+        private CompletableFuture<Void> lastWrite = CompletableFuture.completedFuture(null);
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             PageHandler.Request pageRequest = new PageHandler.Request(
@@ -81,14 +85,13 @@
                     BearerKey.of(request.headers()),
                     ByteBufUtil.getBytes(request.content()));
             boolean keepAlive = HttpUtil.isKeepAlive(request);
-            pages.handle(pageRequest).whenComplete((reply, failure) -> {
-                if (failure != null) {
-                    LOGGER.warn("Handling {} {} failed", pageRequest.method(), pageRequest.path(), failure);
-                }
-                writeReply(
-                        ctx,
-                        keepAlive,
-                        failure == null ? reply : PageReply.empty(HttpResponseStatus.INTERNAL_SERVER_ERROR.code()));
+            CompletableFuture<PageReply> reply = pages.handle(pageRequest).exceptionally(failure -> {
+                LOGGER.warn("Handling {} {} failed", pageRequest.method(), pageRequest.path(), failure);
+                return PageReply.empty(HttpResponseStatus.INTERNAL_SERVER_ERROR.code());
+            });
+            lastWrite = lastWrite.thenCombine(reply, (previous, next) -> {
+                writeReply(ctx, keepAlive, next);
+                return previous;
             });
         }
 
