An answer of the platform without any body is no empty list

A list answer without a length that ended before the first byte of its body counted as an empty list: there are no members, and there is no newer policy version, which confirms the one in force.

Cause: the end of the connection is the end of such an answer, and the JSON reader returns a missing value for no bytes, which has no elements.

--- a/node/src/main/java/org/heatherhaven/node/platform/HttpPlatform.java
+++ b/node/src/main/java/org/heatherhaven/node/platform/HttpPlatform.java
@@ -94,8 +94,13 @@
 
     private static List<StoredObject> parseList(Response response) {
         try {
+            JsonNode list = JSON.readTree(response.getResponseBodyAsBytes());
+            if (!list.isArray()) {
+                // An answer without a length that ends before its first byte would look like an empty list.
+                throw new IllegalArgumentException("not a list");
+            }
             List<StoredObject> objects = new ArrayList<>();
-            for (JsonNode node : JSON.readTree(response.getResponseBodyAsBytes())) {
+            for (JsonNode node : list) {
                 byte[] value = JSON.writeValueAsBytes(node.required("value"));
                 objects.add(new StoredObject(
                         node.required("key").asText(), node.required("version").asLong(), value));
