Stand-in targets can stutter

A stand-in target now has faults for a fraction of its answers each, chosen by a seeded generator: a second copy, at once or held back until the next request arrives; the begin of a copy, cut in the head or in the body, at once or late; an answer without a length; one cut short; bytes that are no HTTP.

Its answers bear a content type, and the context id of their request if it had one, so that they say whose they are.

--- a/cli/src/main/java/org/heatherhaven/cli/run/StandinTargetCommand.java
+++ b/cli/src/main/java/org/heatherhaven/cli/run/StandinTargetCommand.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,7 +15,9 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import org.heatherhaven.cli.Command;
 import org.heatherhaven.cli.ExitCode;
+import org.heatherhaven.standin.http.AnswerFault;
 import org.heatherhaven.standin.target.TargetBehavior;
+import org.heatherhaven.standin.target.TargetFaults;
 import org.heatherhaven.standin.target.TargetServer;
 
 /** Runs a stand-in for a target until the process is killed. */
@@ -41,6 +44,11 @@
             description = "Calls it makes for requests under a path, as PATH=CALLED-PATH; may be given several times")
     private List<String> calls = new ArrayList<>();
 
+    @Parameter(
+            names = "--fault",
+            description = "Fault of answers and the fraction that has it, as NAME=FRACTION; may be given several times")
+    private List<String> faults = new ArrayList<>();
+
     @Parameter(names = "--seed", description = "Start of the random work times")
     private long seed = 1;
 
@@ -61,8 +69,24 @@
                 nodeUrl,
                 new NioEventLoopGroup(2),
                 seed);
+        target.setFaults(targetFaults());
         System.out.println("target of " + service + " listens at " + target.listen(listen));
         new CountDownLatch(1).await();
         return ExitCode.OK;
     }
+
+    private TargetFaults targetFaults() {
+        Map<AnswerFault, Double> fractions = new EnumMap<>(AnswerFault.class);
+        try {
+            for (String fault : faults) {
+                int equals = fault.indexOf('=');
+                fractions.put(
+                        AnswerFault.of(fault.substring(0, Math.max(0, equals))),
+                        Double.valueOf(fault.substring(equals + 1)));
+            }
+            return new TargetFaults(fractions);
+        } catch (IllegalArgumentException e) {
+            throw new ParameterException("--fault must be NAME=FRACTION: " + e.getMessage());
+        }
+    }
 }
--- a/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
@@ -27,6 +27,7 @@
 import org.heatherhaven.standin.platform.PlatformFaults;
 import org.heatherhaven.standin.platform.PlatformServer;
 import org.heatherhaven.standin.target.TargetBehavior;
+import org.heatherhaven.standin.target.TargetFaults;
 import org.heatherhaven.standin.target.TargetServer;
 
 /** Runs a whole deployment in this process: a stand-in platform, stand-in targets, and a real node beside each. */
@@ -267,6 +268,15 @@
         targetsWithNodes.get(index).target.setRefusing(refuse);
     }
 
+    /**
+     * Sets the simulated faults in the answers of all targets.
+     *
+     * @param faults faults of later answers
+     */
+    public void setTargetFaults(TargetFaults faults) {
+        targetsWithNodes.forEach(targetWithNode -> targetWithNode.target.setFaults(faults));
+    }
+
     /**
      * Sets the simulated faults of the platform.
      *
--- a/standin/src/main/java/org/heatherhaven/standin/http/StandinServer.java
+++ b/standin/src/main/java/org/heatherhaven/standin/http/StandinServer.java
@@ -1,15 +1,20 @@
 package org.heatherhaven.standin.http;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -22,8 +27,9 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -70,8 +76,20 @@
      * @param status HTTP status
      * @param headers headers other than Content-Length
      * @param body whole body
+     * @param fault fault in the way it is sent, if any
      */
-    public record Reply(int status, Map<String, String> headers, byte[] body) {
+    public record Reply(int status, Map<String, String> headers, byte[] body, Optional<AnswerFault.Choice> fault) {
+
+        /**
+         * Creates a response that is sent without a fault.
+         *
+         * @param status HTTP status
+         * @param headers headers other than Content-Length
+         * @param body whole body
+         */
+        public Reply(int status, Map<String, String> headers, byte[] body) {
+            this(status, headers, body, Optional.empty());
+        }
 
         /**
          * Returns a response without further headers.
@@ -104,7 +122,8 @@
                         connections.add(ch);
                         ch.pipeline()
                                 .addLast(
-                                        new HttpServerCodec(),
+                                        new HttpRequestDecoder(),
+                                        new HttpResponseEncoder(),
                                         new HttpObjectAggregator(MAX_BODY_BYTES),
                                         new RequestHandler());
                     }
@@ -123,8 +142,15 @@
 
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
+        /** Bytes of an earlier answer's fault that are sent when the next request arrives. */
+        private ByteBuf heldBack = Unpooled.EMPTY_BUFFER;
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            if (heldBack.isReadable()) {
+                writeRaw(ctx, heldBack);
+                heldBack = Unpooled.EMPTY_BUFFER;
+            }
             QueryStringDecoder uri = new QueryStringDecoder(request.uri());
             Map<String, String> query = new HashMap<>();
             uri.parameters().forEach((name, values) -> query.put(name, values.get(0)));
@@ -144,6 +170,40 @@
         }
 
         private void write(ChannelHandlerContext ctx, Reply reply) {
+            reply.fault().ifPresentOrElse(choice -> writeFaulty(ctx, reply, choice), () -> writeWhole(ctx, reply));
+        }
+
+        private void writeFaulty(ChannelHandlerContext ctx, Reply reply, AnswerFault.Choice choice) {
+            AnswerFault.Transmission bytes = choice.fault().apply(head(reply), reply.body(), choice.cutAt());
+            ctx.executor().execute(() -> {
+                if (ctx.isRemoved()) {
+                    return;
+                }
+                heldBack = Unpooled.wrappedBuffer(bytes.beforeNextAnswer());
+                ChannelFuture written = writeRaw(ctx, Unpooled.wrappedBuffer(bytes.now()));
+                if (bytes.close()) {
+                    written.addListener(ChannelFutureListener.CLOSE);
+                }
+            });
+        }
+
+        /** Returns the status line and the headers of a response, without its length. */
+        private static byte[] head(Reply reply) {
+            StringBuilder head = new StringBuilder("HTTP/1.1 ")
+                    .append(HttpResponseStatus.valueOf(reply.status()))
+                    .append("\r\n");
+            reply.headers()
+                    .forEach((name, value) ->
+                            head.append(name).append(": ").append(value).append("\r\n"));
+            return head.toString().getBytes(StandardCharsets.US_ASCII);
+        }
+
+        /** Writes bytes past the encoder, which accepts only whole messages. */
+        private static ChannelFuture writeRaw(ChannelHandlerContext ctx, ByteBuf bytes) {
+            return ctx.pipeline().context(HttpResponseEncoder.class).writeAndFlush(bytes);
+        }
+
+        private static void writeWhole(ChannelHandlerContext ctx, Reply reply) {
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(reply.status()),
--- a/standin/src/main/java/org/heatherhaven/standin/target/TargetServer.java
+++ b/standin/src/main/java/org/heatherhaven/standin/target/TargetServer.java
@@ -6,8 +6,11 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -24,6 +27,7 @@
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.Response;
+import org.heatherhaven.standin.http.AnswerFault;
 import org.heatherhaven.standin.http.StandinServer;
 import org.heatherhaven.standin.http.StandinServer.Reply;
 import org.heatherhaven.standin.http.StandinServer.Request;
@@ -33,8 +37,9 @@
  *
  * <p>A response has the text {@code SERVICE:ID:LENGTH-CHECKSUM:SIZE:}, with the length and the checksum of the request
  * body, followed by as many filler bytes as the query parameter {@code size} requests. Callers use it to check that a
- * response is complete and belongs to their request. {@code GET /standin} returns the counters as JSON; {@code POST
- * /standin} sets the slowness and whether requests are refused.
+ * response is complete and belongs to their request. Each response returns the context id of its request. {@code GET
+ * /standin} returns the counters as JSON; {@code POST /standin} sets the slowness and whether requests are refused;
+ * {@code POST /faults} sets the faults of answers, a JSON object of fractions by {@link AnswerFault#label}.
  */
 public final class TargetServer {
 
@@ -54,6 +59,8 @@
     private final AtomicLong requestsWithCallerKey = new AtomicLong();
     private final SplittableRandom random;
     private int busySlots;
+    private final SplittableRandom faultRandom;
+    private volatile TargetFaults faults = TargetFaults.NONE;
     private volatile double slowness = 1;
     private volatile boolean refusing;
 
@@ -65,13 +72,14 @@
      * @param behavior configured behavior
      * @param nodeUrl base URL at which its node accepts nested calls
      * @param group threads of the connections and of the simulated work
-     * @param seed seed of the random work times
+     * @param seed seed of the random work times and of the random choice of faulty answers
      */
     public TargetServer(TargetBehavior behavior, String nodeUrl, EventLoopGroup group, long seed) {
         this.behavior = behavior;
         this.nodeUrl = nodeUrl;
         this.group = group;
         this.random = new SplittableRandom(seed);
+        this.faultRandom = new SplittableRandom(~seed);
         this.client = Dsl.asyncHttpClient(new DefaultAsyncHttpClientConfig.Builder()
                 .setEventLoopGroup(group)
                 .setMaxRequestRetry(0)
@@ -107,6 +115,15 @@
         refusing = refuse;
     }
 
+    /**
+     * Sets the simulated faults of the answers.
+     *
+     * @param newFaults faults of later answers
+     */
+    public void setFaults(TargetFaults newFaults) {
+        faults = newFaults;
+    }
+
     /**
      * Returns the executions so far by idempotency key.
      *
@@ -148,9 +165,43 @@
         if (request.path().equals("/standin")) {
             return CompletableFuture.completedFuture(control(request));
         }
+        if (request.path().equals("/faults")) {
+            return CompletableFuture.completedFuture(changeFaults(request));
+        }
         if (request.headers().containsKey("authorization")) {
             requestsWithCallerKey.incrementAndGet();
         }
+        return answer(request).thenApply(reply -> withContextAndFault(request, reply));
+    }
+
+    private Reply changeFaults(Request request) {
+        try {
+            Map<AnswerFault, Double> fractions = new EnumMap<>(AnswerFault.class);
+            JSON.readTree(request.body())
+                    .fields()
+                    .forEachRemaining(field -> fractions.put(
+                            AnswerFault.of(field.getKey()), field.getValue().asDouble()));
+            setFaults(new TargetFaults(fractions));
+            return Reply.of(204, new byte[0]);
+        } catch (IOException | IllegalArgumentException e) {
+            return Reply.of(400, new byte[0]);
+        }
+    }
+
+    /** Returns a reply with the context id of its request, and with a fault if one is chosen. */
+    private Reply withContextAndFault(Request request, Reply reply) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("Content-Type", "text/plain; charset=utf-8");
+        Optional.ofNullable(request.headers().get(CONTEXT_HEADER))
+                .ifPresent(context -> headers.put(CONTEXT_HEADER, context));
+        return new Reply(reply.status(), headers, reply.body(), chooseFault());
+    }
+
+    private synchronized Optional<AnswerFault.Choice> chooseFault() {
+        return faults.choose(faultRandom);
+    }
+
+    private CompletableFuture<Reply> answer(Request request) {
         if (refusing) {
             return CompletableFuture.completedFuture(Reply.of(503, new byte[0]));
         }
