The own dialect recognizes answers to other calls by their context id

In the product's own dialect an answer of a target never said whose it was, and the dialect took every answer for that to the call in hand: a second copy that a target sends where the next answer is expected went to the next caller.

Targets already get a context id that is unique for each call (and for each attempt). They may now return it. An answer with another context id is the answer to another call; an answer without one is classified as before.

--- a/node/src/main/java/org/heatherhaven/node/http/CallDialect.java
+++ b/node/src/main/java/org/heatherhaven/node/http/CallDialect.java
@@ -48,6 +48,19 @@
      */
     ResponseVerdict classifyResponse(CallHead head, int status, HttpHeaders headers);
 
+    /**
+     * Classifies the head of a target's response to a call that was sent with a context id.
+     *
+     * @param head head of the call that was sent
+     * @param context context id that was sent with the call
+     * @param status HTTP status
+     * @param headers headers of the response
+     * @return the verdict
+     */
+    default ResponseVerdict classifyResponse(CallHead head, String context, int status, HttpHeaders headers) {
+        return classifyResponse(head, status, headers);
+    }
+
     /**
      * Selects the headers of a response that are forwarded to the caller.
      *
--- a/node/src/main/java/org/heatherhaven/node/http/DefaultDialect.java
+++ b/node/src/main/java/org/heatherhaven/node/http/DefaultDialect.java
@@ -27,7 +27,10 @@
 /** The dialect of heatherhaven's own HTTP interface. Refusals are problem details (RFC 9457). */
 public final class DefaultDialect implements CallDialect {
 
-    /** Header that carries the context id to the target and back with the calls that the target makes. */
+    /**
+     * Header that carries the context id to the target and back with the calls that the target makes. A target may also
+     * return it in its response.
+     */
     public static final String CONTEXT_HEADER = "Heatherhaven-Context";
 
     /** Header with the time until the caller stops waiting for the response, milliseconds. */
@@ -94,6 +97,13 @@
         return status == SERVICE_UNAVAILABLE ? ResponseVerdict.OVERLOADED : ResponseVerdict.VALID;
     }
 
+    @Override
+    public ResponseVerdict classifyResponse(CallHead head, String context, int status, HttpHeaders headers) {
+        // Targets need not return the context id.
+        boolean own = headers.get(CONTEXT_HEADER, context).equals(context);
+        return own ? classifyResponse(head, status, headers) : ResponseVerdict.OTHER_CALL;
+    }
+
     @Override
     public List<Header> responseHeaders(HttpHeaders headers) {
         return HEADER_FILTER.endToEnd(headers);
