--- a/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
@@ -48,6 +48,7 @@
     private final EventLoop loop;
     private final CallDialect dialect;
     private final CallHead head;
+    private final String context;
     private final boolean hasBody;
     private final HttpRequest request;
     private final AnswerListener listener;
@@ -88,6 +89,7 @@
         this.loop = loop;
         this.dialect = dialect;
         this.head = head;
+        this.context = effect.context();
         this.hasBody = hasBody;
         this.listener = listener;
         this.bodyComplete = !hasBody;
@@ -206,7 +208,7 @@
     /** Handles the head of a response. */
     void received(HttpResponse response) {
         ResponseVerdict verdict =
-                dialect.classifyResponse(head, response.status().code(), response.headers());
+                dialect.classifyResponse(head, context, response.status().code(), response.headers());
         reportAnomaly(verdict, response);
         switch (verdict) {
             case VALID -> {
