An answer without a length ends only with the target's FIN

A caller could get a part of an answer as a whole one: an answer without a length was being read, its reading paused by a slow caller, when the target reset the connection, and a write of the request's body met the reset before a read did. The channel closed, at which the decoder ends such an answer as if the target had, and the call counted as answered. It was the same at any other close by this node, as at the shutdown of its event loops.

Connections to targets may be half open now: a FIN is read as the end of the input, with the channel still active, so an end that is decoded with the channel inactive comes from a close on this side and fails the call. After a FIN this node closes its side at once, and the connection does not go back to the pool.

The test failed before: "expected FAILED, saw ANSWERED". It let the reset overtake the pause once, which made it pass; it waits for the pause now, and failed three times in three runs before the fix.

--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
@@ -13,6 +13,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -154,7 +155,7 @@
     void exchangeEnded(boolean reusable) {
         current = Optional.empty();
         reading = Optional.empty();
-        if (!reusable || closeAfterAnswer || !channel.isActive()) {
+        if (!reusable || closeAfterAnswer || decoder.inputEnded() || !channel.isActive()) {
             channel.close();
             return;
         }
@@ -258,6 +259,14 @@
         }
         TargetExchange exchange = current.get();
         HttpObject object = (HttpObject) message;
+        if (!channel.isActive()) {
+            // At any close, the decoder ends an answer without a length as if it were complete; the target has ended
+            // it only if its FIN was read, which leaves the connection half open.
+            ReferenceCountUtil.release(message);
+            reportBrokenOff("connection closed by this node");
+            exchange.fail();
+            return;
+        }
         if (!object.decoderResult().isSuccess()) {
             ReferenceCountUtil.release(message);
             reportUndecodable(object.decoderResult().cause());
@@ -335,6 +344,22 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            inputEnded();
+        }
+        ctx.fireUserEventTriggered(event);
+    }
+
+    /** Closes this node's side, too, after the target has closed its own. */
+    private void inputEnded() {
+        pool.remove(this);
+        reportBrokenOff("connection closed");
+        current.ifPresent(TargetExchange::fail);
+        channel.close();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         pool.remove(this);
--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
@@ -109,6 +109,8 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Tells a target's FIN from a close by this node, for the end of answers without a length.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
--- a/node/src/main/java/org/heatherhaven/node/target/TargetResponseDecoder.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetResponseDecoder.java
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -23,6 +24,8 @@
     /** Method of the request sent last; empty before the first. */
     private Optional<HttpMethod> requested = Optional.empty();
 
+    private boolean inputEnded;
+
     /**
      * Creates the decoder of one connection.
      *
@@ -46,6 +49,17 @@
         return actualReadableBytes();
     }
 
+    /** Returns whether the target has closed its side of the connection normally, by a FIN. */
+    boolean inputEnded() {
+        return inputEnded;
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+        inputEnded |= event instanceof ChannelInputShutdownEvent;
+        super.userEventTriggered(ctx, event);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
         if (message instanceof ByteBuf bytes) {
--- a/node/src/test/java/org/heatherhaven/node/target/AnswersOfOtherCallsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/AnswersOfOtherCallsTest.java
@@ -263,6 +263,7 @@
             TargetExchange exchange = send(target, "POST", "a", true, listener);
             listener.firstBytes.join();
             exchange.setReading(false);
+            group.submit(() -> {}).syncUninterruptibly();
             target.sendNextPart();
             while (!listener.outcome.isDone()) {
                 exchange.addBody(Unpooled.copiedBuffer("x".repeat(100), StandardCharsets.ISO_8859_1));
