A connection is not used for two requests with the same id

Where a sender uses a request id twice, a target's second answer to the first request passed for the answer to the second: a caller got a failure though the target had answered it, or a refusal as not run although its request ran. Answers are told apart by the request's id alone.

A connection remembers the ids of the last 64 requests it sent, where targets repeat them, and gets no further request with one of them; another connection is opened. Within one call this never happens, as no target gets two attempts (AttemptTargetsTest), so no connection more is opened for ordinary retries and refusals.

The two tests failed before: "expected ANSWERED, 200, one, saw ANSWERED, 500" and "saw REFUSED".

--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.EnumSet;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -47,6 +48,9 @@
 
     private static final int MAX_SHOWN_CHARS = 64;
 
+    /** Number of request ids that are remembered; a second answer to an earlier request is not expected any more. */
+    private static final int MAX_RECENT_IDS = 64;
+
     private final TargetRef target;
     private final TargetConnections pool;
     private final CallDialect dialect;
@@ -55,6 +59,9 @@
     /** Anomalies reported since the last request was sent; each is reported once, however often a target repeats it. */
     private final Set<AnswerAnomaly> reported = EnumSet.noneOf(AnswerAnomaly.class);
 
+    /** Ids of the requests sent last, the oldest first. */
+    private final Set<String> recentIds = new LinkedHashSet<>();
+
     private Channel channel;
     private Optional<TargetExchange> current = Optional.empty();
     private Duration maxIdle = DEFAULT_MAX_IDLE;
@@ -102,6 +109,24 @@
                 && Duration.between(idleSince, clock.instant()).compareTo(shorter) < 0;
     }
 
+    /**
+     * Returns whether answers are told apart by the id, and a request with the given one was sent before. A late second
+     * answer to it would pass for the answer to another request with this id.
+     */
+    boolean hasSent(String requestId) {
+        return recentIds.contains(requestId);
+    }
+
+    private void remember(String requestId) {
+        if (!dialect.answersCarryId()) {
+            return;
+        }
+        if (recentIds.size() == MAX_RECENT_IDS) {
+            recentIds.remove(recentIds.iterator().next());
+        }
+        recentIds.add(requestId);
+    }
+
     /** Assigns the connection to a call, which then sends its request. */
     void start(TargetExchange exchange) {
         current = Optional.of(exchange);
@@ -109,6 +134,7 @@
         betweenCalls = false;
         reported.clear();
         lastRequestId = exchange.head().requestId();
+        remember(lastRequestId);
         requestSentAt = clock.instant();
         exchange.connected(this);
     }
--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnections.java
@@ -79,13 +79,11 @@
      * those idle for too long are closed on the way.
      */
     private void sendOnIdleOrNew(TargetExchange exchange, TargetRef target) {
-        Duration limit = exchange.head().unrepeatable() ? MAX_IDLE_UNREPEATABLE : MAX_IDLE;
         while (!idle.isEmpty()) {
             TargetConnection pooled = idle.peekFirst();
-            boolean usable = pooled.target().equals(target) && pooled.isUsable(limit);
-            if (!usable && pooled.target().equals(target) && pooled.isUsable(MAX_IDLE)) {
-                // The connection used last is too old for this unrepeatable call, and so are all others; repeatable
-                // calls can still use them.
+            boolean usable = pooled.target().equals(target) && pooled.isUsable(MAX_IDLE);
+            if (usable && !suits(pooled, exchange.head())) {
+                // Other calls can still use this connection and those behind it.
                 break;
             }
             idle.removeFirst();
@@ -98,6 +96,14 @@
         sendOnNew(exchange, target);
     }
 
+    /**
+     * Returns whether a usable connection suits a call: it must not be too old for an unrepeatable one, as all behind it
+     * are then too, nor have sent a request with the same id.
+     */
+    private static boolean suits(TargetConnection pooled, CallHead head) {
+        return !pooled.hasSent(head.requestId()) && (!head.unrepeatable() || pooled.isUsable(MAX_IDLE_UNREPEATABLE));
+    }
+
     private void sendOnNew(TargetExchange exchange, TargetRef target) {
         TargetConnection connection = new TargetConnection(target, this, dialect, clock);
         int colon = target.address().lastIndexOf(':');
