A response is a call's own only if it bears exactly the call's id

A caller could get an answer that was not its own, or its call count as not run, by a response without an id, or with the ids of two calls where one head ran into another: both were taken for the answer to the call in hand.

Targets repeat the id in their responses, refusals as well. A response without exactly one id is rejected now and the call fails as not known, never as not run. It is still reported as no-id, or as invalid with all ids it bears.

A script of TargetAnomaliesTest that lacked an id by accident has one.

--- a/core/src/main/java/org/heatherhaven/core/model/AnswerAnomaly.java
+++ b/core/src/main/java/org/heatherhaven/core/model/AnswerAnomaly.java
@@ -15,7 +15,7 @@
     LEFTOVER_BYTES,
     /** A response that bears the id of another call was skipped. */
     OTHER_CALL,
-    /** A response without an id was taken for the response to the call in hand. */
+    /** A response bore no id although the target's responses should; the detail says what it was taken for. */
     NO_ID,
     /** A response was rejected as not valid. */
     INVALID,
--- a/node/src/main/java/org/heatherhaven/node/http/CallDialect.java
+++ b/node/src/main/java/org/heatherhaven/node/http/CallDialect.java
@@ -68,7 +68,7 @@
      * Returns the id of the request that a target's response names.
      *
      * @param headers headers of the response
-     * @return the id; empty if the response bears none
+     * @return the id; empty if the response bears none, and all of them, separated by commas, if it bears several
      */
     Optional<String> responseId(HttpHeaders headers);
 
--- a/node/src/main/java/org/heatherhaven/node/http/ResponseVerdict.java
+++ b/node/src/main/java/org/heatherhaven/node/http/ResponseVerdict.java
@@ -12,6 +12,6 @@
     NOT_RUN,
     /** Another process now has the target's address; it did not run the call. */
     REPLACED,
-    /** The response is not valid and can't be forwarded to the caller. */
+    /** The response is not valid, or nothing shows to which call it belongs; it can't be forwarded to the caller. */
     INVALID
 }
--- a/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
@@ -231,18 +231,18 @@
             report(
                     AnswerAnomaly.OTHER_CALL,
                     open -> open.describe(response) + ", " + open.sinceRequest() + ", attempt " + head.attemptKind());
-        } else if (verdict == ResponseVerdict.INVALID) {
-            report(
-                    AnswerAnomaly.INVALID,
-                    open -> "rejected for its head: " + open.describe(response) + ", content encoding "
-                            + TargetConnection.shorten(
-                                    response.headers().get(HttpHeaderNames.CONTENT_ENCODING.toString(), "none")));
         } else if (dialect.answersCarryId()
                 && dialect.responseId(response.headers()).isEmpty()) {
             report(
                     AnswerAnomaly.NO_ID,
                     open -> open.describe(response) + ", " + open.sinceRequest() + ", attempt " + head.attemptKind()
                             + ", taken as " + verdict);
+        } else if (verdict == ResponseVerdict.INVALID) {
+            report(
+                    AnswerAnomaly.INVALID,
+                    open -> "rejected for its head: " + open.describe(response) + ", content encoding "
+                            + TargetConnection.shorten(
+                                    response.headers().get(HttpHeaderNames.CONTENT_ENCODING.toString(), "none")));
         }
     }
 
--- a/node/src/test/java/org/heatherhaven/node/target/TargetAnomaliesTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/TargetAnomaliesTest.java
@@ -282,7 +282,9 @@
     void aRejectedAnswerIsReportedWithTheReason() throws IOException {
         failsWith("what is this?\r\n\r\n", "not HTTP", "in the head", "after request a");
         failsWith("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\nx", "status 200", "content encoding none");
-        failsWith("HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx", "content encoding gzip");
+        failsWith(
+                "HTTP/1.1 200 OK\r\nId: a\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx",
+                "content encoding gzip");
         failsWith(head("a") + ScriptedTarget.ENDLESS + "X-Again: and again\r\n", "over a limit");
         failsWith(head("a") + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "not HTTP", "status 200", "chunked");
         failsWith("HTTP/1.1 102 Processing\r\n\r\n".repeat(17), "17 interim responses");
