--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.EnumSet;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -13,6 +14,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -46,6 +48,9 @@
 
     private static final int MAX_SHOWN_CHARS = 64;
 
+    /** Number of request ids that are remembered; a second answer to an earlier request is not expected any more. */
+    private static final int MAX_RECENT_IDS = 64;
+
     private final TargetRef target;
     private final TargetConnections pool;
     private final CallDialect dialect;
@@ -54,6 +59,9 @@
     /** Anomalies reported since the last request was sent; each is reported once, however often a target repeats it. */
     private final Set<AnswerAnomaly> reported = EnumSet.noneOf(AnswerAnomaly.class);
 
+    /** Ids of the requests sent last, the oldest first. */
+    private final Set<String> recentIds = new LinkedHashSet<>();
+
     private Channel channel;
     private Optional<TargetExchange> current = Optional.empty();
     private Duration maxIdle = DEFAULT_MAX_IDLE;
@@ -101,6 +109,24 @@
                 && Duration.between(idleSince, clock.instant()).compareTo(shorter) < 0;
     }
 
+    /**
+     * Returns whether answers are told apart by the id, and a request with the given one was sent before. A late second
+     * answer to it would pass for the answer to another request with this id.
+     */
+    boolean hasSent(String requestId) {
+        return recentIds.contains(requestId);
+    }
+
+    private void remember(String requestId) {
+        if (!dialect.answersCarryId()) {
+            return;
+        }
+        if (recentIds.size() == MAX_RECENT_IDS) {
+            recentIds.remove(recentIds.iterator().next());
+        }
+        recentIds.add(requestId);
+    }
+
     /** Assigns the connection to a call, which then sends its request. */
     void start(TargetExchange exchange) {
         current = Optional.of(exchange);
@@ -108,6 +134,7 @@
         betweenCalls = false;
         reported.clear();
         lastRequestId = exchange.head().requestId();
+        remember(lastRequestId);
         requestSentAt = clock.instant();
         exchange.connected(this);
     }
@@ -154,7 +181,7 @@
     void exchangeEnded(boolean reusable) {
         current = Optional.empty();
         reading = Optional.empty();
-        if (!reusable || closeAfterAnswer || !channel.isActive()) {
+        if (!reusable || closeAfterAnswer || decoder.inputEnded() || !channel.isActive()) {
             channel.close();
             return;
         }
@@ -258,6 +285,14 @@
         }
         TargetExchange exchange = current.get();
         HttpObject object = (HttpObject) message;
+        if (!channel.isActive()) {
+            // At any close, the decoder ends an answer without a length as if it were complete; the target has ended
+            // it only if its FIN was read, which leaves the connection half open.
+            ReferenceCountUtil.release(message);
+            reportBrokenOff("connection closed by this node");
+            exchange.fail();
+            return;
+        }
         if (!object.decoderResult().isSuccess()) {
             ReferenceCountUtil.release(message);
             reportUndecodable(object.decoderResult().cause());
@@ -335,6 +370,22 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            inputEnded();
+        }
+        ctx.fireUserEventTriggered(event);
+    }
+
+    /** Closes this node's side, too, after the target has closed its own. */
+    private void inputEnded() {
+        pool.remove(this);
+        reportBrokenOff("connection closed");
+        current.ifPresent(TargetExchange::fail);
+        channel.close();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         pool.remove(this);
