The texts of refusals stand where the record of them is read

Cause: put the text of a malformed request's refusal into a variable, and RecordedDecisionsTest, which reads the texts from the calls in the sources, no longer saw it: "line 1: recorded '*the head of the request is too large*not HTTP/1.1', seen 'another process has the target's address'". The text itself was the same. The call has it as an argument again, as before; the record is unchanged and the test passes.

--- a/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
@@ -87,8 +87,10 @@
             ctx.close();
             return;
         }
-        String detail = tooLong ? "the head of the request is too large" : "not HTTP/1.1";
-        refuseAndClose(ctx, requestId, Refusal.notRun(reason, detail));
+        refuseAndClose(
+                ctx,
+                requestId,
+                Refusal.notRun(reason, tooLong ? "the head of the request is too large" : "not HTTP/1.1"));
     }
 
     /** Returns the identifier of a request as far as its head was read. */
