--- a/node/src/test/java/org/heatherhaven/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/heatherhaven/node/entry/EntryFixture.java
@@ -23,9 +23,12 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import org.heatherhaven.core.effect.Effect.ForwardCall;
 import org.heatherhaven.core.event.Event;
 import org.heatherhaven.core.event.TrafficEvent.EntryPoint;
@@ -64,6 +67,7 @@
     private final NioEventLoopGroup callerGroup = new NioEventLoopGroup(1);
     private final NioEventLoopGroup linkGroup = new NioEventLoopGroup(1);
     private final List<FrameType> received = new CopyOnWriteArrayList<>();
+    private final ChannelGroup links = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Semaphore offers = new Semaphore(0);
     private final Map<Long, Integer> bodyBytes = new ConcurrentHashMap<>();
     private final Semaphore bodyEnds = new Semaphore(0);
@@ -83,8 +87,8 @@
         PeerSettings settings = new PeerSettings(
                 new Owner(new NodeId("entry"), 1), SECRETS, MAX_FRAME_BYTES, Optional.empty(), Optional.empty());
         // The clock stands still, so that the delay after a failed connection never ends.
-        PeerLinks links = new PeerLinks(settings, linkGroup, () -> Instant.EPOCH);
-        calls = new EntryCalls(mailbox, links, new IdentifyingDialect(), reason -> {});
+        PeerLinks peerLinks = new PeerLinks(settings, linkGroup, () -> Instant.EPOCH);
+        calls = new EntryCalls(mailbox, peerLinks, new IdentifyingDialect(), reason -> {});
         EntrySettings entry = new EntrySettings(MAX_HEADER_BYTES, MAX_BODY_BYTES, 10);
         callerListener = listen(
                 callerGroup,
@@ -132,6 +136,11 @@
         offers.acquireUninterruptibly(count);
     }
 
+    /** Closes the connections between the node and the peer. */
+    void closeLinks() {
+        links.close().syncUninterruptibly();
+    }
+
     NodeId peer() {
         return new NodeId("127.0.0.1:" + ((InetSocketAddress) peerListener.localAddress()).getPort());
     }
@@ -217,6 +226,11 @@
             this.script = script;
         }
 
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            links.add(ctx.channel());
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
             received.add(frame.type());
