Test: failures and nested calls of a fleet with stuttering targets, too

The test of the fleet checked only successes of root calls. A failure could be another call's, and a target took any 200 for the answer to its nested call.

A stand-in target now names its request in its failures as well, gives each nested call an id of its own, and counts the nested calls that succeed with another answer than theirs. Callers accept a failure only if it is their request's own or a refusal by a node.

--- a/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
+++ b/standin/src/main/java/org/heatherhaven/standin/fleet/EmbeddedFleet.java
@@ -365,6 +365,18 @@
                 .sum();
     }
 
+    /**
+     * Returns the number of nested calls of all targets that succeeded with the answer to another call, or with a part of
+     * one.
+     *
+     * @return number of nested calls; 0 unless nodes mix up answers
+     */
+    public long wrongNestedAnswers() {
+        return targetsWithNodes.stream()
+                .mapToLong(targetWithNode -> targetWithNode.target.wrongNestedAnswers())
+                .sum();
+    }
+
     @Override
     public void close() {
         for (TargetWithNode targetWithNode : targetsWithNodes) {
--- a/standin/src/main/java/org/heatherhaven/standin/target/TargetServer.java
+++ b/standin/src/main/java/org/heatherhaven/standin/target/TargetServer.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.SplittableRandom;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -36,7 +37,8 @@
  * A stand-in target that works on a limited number of calls at a time and makes nested calls through its node.
  *
  * <p>A response has the text {@code SERVICE:ID:LENGTH-CHECKSUM:SIZE:}, with the length and the checksum of the request
- * body, followed by as many filler bytes as the query parameter {@code size} requests. Callers use it to check that a
+ * body, followed by as many filler bytes as the query parameter {@code size} requests; that of a failed request has the
+ * text {@code SERVICE:ID:failed:} and the reason. Callers use it to check that a
  * response is complete and belongs to their request. Each response returns the context id of its request. {@code GET
  * /standin} returns the counters as JSON; {@code POST /standin} sets the slowness and whether requests are refused;
  * {@code POST /faults} sets the faults of answers, a JSON object of fractions by {@link AnswerFault#label}.
@@ -57,6 +59,11 @@
     private final Map<String, AtomicLong> runsByKey = new ConcurrentHashMap<>();
     private final AtomicLong runs = new AtomicLong();
     private final AtomicLong requestsWithCallerKey = new AtomicLong();
+    /** Begin of the ids of this target's nested calls. */
+    private final String instance = UUID.randomUUID().toString();
+
+    private final AtomicLong nestedCalls = new AtomicLong();
+    private final AtomicLong wrongNestedAnswers = new AtomicLong();
     private final SplittableRandom random;
     private int busySlots;
     private final SplittableRandom faultRandom;
@@ -151,6 +158,15 @@
         return requestsWithCallerKey.get();
     }
 
+    /**
+     * Returns the number of nested calls that succeeded with the answer to another call, or with a part of one.
+     *
+     * @return number of nested calls; must be 0
+     */
+    public long wrongNestedAnswers() {
+        return wrongNestedAnswers.get();
+    }
+
     /** Stops the target at once and closes its connections. */
     public void close() {
         server.close();
@@ -261,22 +277,31 @@
             finishJob(job, Reply.of(200, responseBody(job.request())));
             return;
         }
-        BoundRequestBuilder nested = client.prepareGet(nodeUrl + paths.get(index));
+        String id = instance + "-" + nestedCalls.incrementAndGet();
+        BoundRequestBuilder nested = client.prepareGet(nodeUrl + paths.get(index) + "?id=" + id);
         nested.addHeader(CONTEXT_HEADER, job.request().headers().getOrDefault(CONTEXT_HEADER, "none"));
         nested.execute().toCompletableFuture().whenComplete((response, failure) -> {
             if (failure != null || response.getStatusCode() != 200) {
-                finishJob(job, Reply.of(500, failureText(response, failure)));
+                finishJob(job, Reply.of(500, failureBody(job.request(), failureText(response, failure))));
+            } else if (!response.getResponseBody().endsWith(":" + id + ":0-0:0:")) {
+                wrongNestedAnswers.incrementAndGet();
+                finishJob(job, Reply.of(500, failureBody(job.request(), "nested call: wrong answer")));
             } else {
                 makeNestedCalls(job, paths, index + 1);
             }
         });
     }
 
-    private static byte[] failureText(Response response, Throwable failure) {
-        String text = failure == null
+    /** Returns the body of a failure, which names its request as that of a success does. */
+    private byte[] failureBody(Request request, String text) {
+        return (behavior.service() + ":" + request.query().getOrDefault("id", "") + ":failed: " + text)
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String failureText(Response response, Throwable failure) {
+        return failure == null
                 ? "nested call: " + response.getStatusCode() + " " + response.getResponseBody()
                 : failure.toString();
-        return text.getBytes(StandardCharsets.UTF_8);
     }
 
     /**
--- a/standin/src/test/java/org/heatherhaven/standin/fleet/StutteringTargetsTest.java
+++ b/standin/src/test/java/org/heatherhaven/standin/fleet/StutteringTargetsTest.java
@@ -38,14 +38,16 @@
     private static final int MAX_ANSWER_BYTES = 5_000;
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(10);
     private static final String CONTENT_TYPE = "text/plain; charset=utf-8";
+    private static final String REFUSAL_TYPE = "application/problem+json";
     private static final int OK = 200;
     private static final int FIRST_FAILURE = 400;
+    private static final int FAILED = 500;
 
     private final Map<String, Integer> results = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<String> wrongAnswers = new ConcurrentLinkedQueue<>();
 
-    /** One request and the text of its right answer. */
-    private record Sent(String id, BoundRequestBuilder request, String expected) {}
+    /** One request, the text of its right answer, and the begin of the text of its failure by the target. */
+    private record Sent(String id, BoundRequestBuilder request, String expected, String failure) {}
 
     @Example
     void eachCallerGetsItsOwnWholeAnswerOrAFailure() throws Exception {
@@ -59,6 +61,9 @@
                 callers.add(call(fleet, client, caller, new SplittableRandom(SEED + caller), 0));
             }
             callers.forEach(CompletableFuture::join);
+            if (fleet.wrongNestedAnswers() > 0) {
+                wrongAnswers.add(fleet.wrongNestedAnswers() + " nested calls got wrong answers");
+            }
         }
         int answered = results.getOrDefault("200", 0);
         if (!wrongAnswers.isEmpty() || answered < CALLERS * REQUESTS_OF_EACH_CALLER / 2) {
@@ -101,7 +106,8 @@
         if (flow.unrepeatable()) {
             request.addHeader("Idempotency-Key", id);
         }
-        return new Sent(id, request, expectedAnswer(flow.service(), id, body, size));
+        return new Sent(
+                id, request, expectedAnswer(flow.service(), id, body, size), flow.service() + ":" + id + ":failed: ");
     }
 
     private static String expectedAnswer(String service, String id, byte[] body, int size) {
@@ -119,20 +125,30 @@
                 ? Integer.toString(response.getStatusCode())
                 : failure.getClass().getSimpleName();
         results.merge(result, 1, Integer::sum);
-        if (failure != null || response.getStatusCode() >= FIRST_FAILURE) {
-            return;
-        }
-        String body = new String(response.getResponseBodyAsBytes(), StandardCharsets.ISO_8859_1);
-        boolean right = response.getStatusCode() == OK
-                && body.equals(sent.expected())
-                && CONTENT_TYPE.equals(response.getHeader("Content-Type"));
-        if (!right) {
+        if (failure == null && !isRight(sent, response)) {
+            String body = body(response);
             wrongAnswers.add("request " + sent.id() + " got " + response.getStatusCode() + " of type "
-                    + response.getHeader("Content-Type") + " with " + body.length() + " characters: " + head(body)
+                    + response.getContentType() + " with " + body.length() + " characters: " + head(body)
                     + ", expected " + sent.expected().length() + ": " + head(sent.expected()));
         }
     }
 
+    /** Returns true for the request's own whole answer, its own failure by the target, and a refusal by a node. */
+    private static boolean isRight(Sent sent, Response response) {
+        if (response.getStatusCode() != OK && REFUSAL_TYPE.equals(response.getContentType())) {
+            return response.getStatusCode() >= FIRST_FAILURE;
+        }
+        String body = body(response);
+        boolean own = response.getStatusCode() == OK
+                ? body.equals(sent.expected())
+                : response.getStatusCode() == FAILED && body.startsWith(sent.failure());
+        return own && CONTENT_TYPE.equals(response.getContentType());
+    }
+
+    private static String body(Response response) {
+        return new String(response.getResponseBodyAsBytes(), StandardCharsets.ISO_8859_1);
+    }
+
     private static String head(String text) {
         return text.substring(0, Math.min(text.length(), 60));
     }
