A page reply written on the event loop does not overtake one of another thread

What callers saw: a client that pipelines requests to a page listener could get the reply to the second request first.

Cause: the replies were put in order, but not their writes. A reply that the control thread completes is written as a task queued on the event loop. If the loop is reading the next request at that moment, and its reply is there at once, that reply is written directly, ahead of the queued one.

Evidence: PageServerTest#aReplyOfAnotherThreadIsNotOvertakenOnTheEventLoop fails each time without the change (the reply to /fast arrives, the one to /slow never does).

Why it works: each reply is now written by a task on the connection's event loop, and each such task starts only when the one before has written.

--- a/node/src/main/java/org/heatherhaven/node/http/PageServer.java
+++ b/node/src/main/java/org/heatherhaven/node/http/PageServer.java
@@ -89,10 +89,14 @@
                 LOGGER.warn("Handling {} {} failed", pageRequest.method(), pageRequest.path(), failure);
                 return PageReply.empty(HttpResponseStatus.INTERNAL_SERVER_ERROR.code());
             });
-            lastWrite = lastWrite.thenCombine(reply, (previous, next) -> {
-                writeReply(ctx, keepAlive, next);
-                return previous;
-            });
+            // On the event loop always: a write from another thread is queued, and one from the loop would overtake it.
+            lastWrite = lastWrite.thenCombineAsync(
+                    reply,
+                    (previous, next) -> {
+                        writeReply(ctx, keepAlive, next);
+                        return previous;
+                    },
+                    ctx.executor());
         }
 
         private void writeReply(ChannelHandlerContext ctx, boolean keepAlive, PageReply reply) {
--- a/node/src/test/java/org/heatherhaven/node/http/PageServerTest.java
+++ b/node/src/test/java/org/heatherhaven/node/http/PageServerTest.java
@@ -46,7 +46,11 @@
 
     @Example
     void pipelinedRequestsAreAnsweredInTheirOrderThoughTheSecondIsHandledFirst() throws IOException {
-        PageServer server = new PageServer(this::handle);
+        expectOrder(this::handle);
+    }
+
+    private void expectOrder(PageHandler pages) throws IOException {
+        PageServer server = new PageServer(pages);
         InetSocketAddress address = freeAddress();
         server.listen(group, address);
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
@@ -63,4 +67,19 @@
             server.close();
         }
     }
+
+    /** Completes the reply to {@code /slow} on another thread while the event loop handles the request after it. */
+    private CompletableFuture<PageReply> handleWhileAnotherThreadReplies(PageHandler.Request request) {
+        if (request.path().equals("/slow")) {
+            return slowReply;
+        }
+        CompletableFuture.runAsync(() -> slowReply.complete(reply("\"slow\"")), task -> new Thread(task).start())
+                .join();
+        return CompletableFuture.completedFuture(reply("\"fast\""));
+    }
+
+    @Example
+    void aReplyOfAnotherThreadIsNotOvertakenOnTheEventLoop() throws IOException {
+        expectOrder(this::handleWhileAnotherThreadReplies);
+    }
 }
