A call that has ended does not pause its connection, on any event loop

What callers saw: with several traffic threads, a call whose target's connection had served a call for a slow peer got its answer late, or ended at its time limit.

Cause: whether the earlier call had ended was looked up on the event loop of the peer's connection, which learns it later than the loop of the target's connection. In between, the pause went to the connection that served the next call. The resumption could also go to a connection that the next call had paused.

Evidence: SlowPeerTest#aCallThatHasEndedDoesNotPauseTheNextCallOnItsConnection fails each time without the change (ABORTED at the time limit).

Why it works: the end is now checked on the loop of the target's connection, where the call ends, so no pause can pass from one call to the next. The flag of OfferExchange has no use any more.

--- a/node/src/main/java/org/heatherhaven/node/target/OfferExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/OfferExchange.java
@@ -61,9 +61,6 @@
     private boolean headSent;
     private boolean bodyEnded;
 
-    /** True once the call at the target has ended; the connection may then serve another call. */
-    private boolean targetEnded;
-
     private boolean ended;
     private Optional<AnswerEnd> answerEnd = Optional.empty();
     private Optional<TargetExchange> exchange = Optional.empty();
@@ -213,8 +210,7 @@
 
     /**
      * Sends as much of the answer's body as the peer's window allows, then the end if it is known. Reading from the
-     * target is paused while a piece of the body waits for the window, but not once the answer has been read: its
-     * connection then waits for another call or serves one.
+     * target is paused while a piece of the body waits for the window.
      */
     private void flush() {
         if (ended || bufferedHead.isPresent()) {
@@ -232,7 +228,7 @@
             answerWindow -= data.readableBytes();
             write(Frame.chunk(key.stream(), data));
         }
-        exchange.ifPresent(sent -> sent.setReading(targetEnded || unsentAnswer.isEmpty()));
+        exchange.ifPresent(sent -> sent.setReading(unsentAnswer.isEmpty()));
         if (unsentAnswer.isEmpty() && answerEnd.isPresent()) {
             close(Frame.of(FrameType.END, key.stream(), answerEnd.get()));
         } else {
@@ -288,10 +284,7 @@
         @Override
         public void ended(TargetResult result) {
             // Queued on the event loop behind the pieces of the answer, so that the end can't overtake them.
-            onLoop(() -> {
-                targetEnded = true;
-                mailbox.put(new TrafficEvent.TargetEnded(key, result));
-            });
+            onLoop(() -> mailbox.put(new TrafficEvent.TargetEnded(key, result)));
         }
     }
 }
--- a/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
@@ -148,12 +148,16 @@
     }
 
     /**
-     * Pauses or resumes reading the answer from the target's connection.
+     * Pauses or resumes reading the answer from the target's connection; does nothing once the call has ended, as the
+     * connection may then serve another call.
      *
      * @param reading true to read, false to pause
      */
     public void setReading(boolean reading) {
         onLoop(() -> {
+            if (ended) {
+                return;
+            }
             readingEnabled = reading;
             connection.ifPresent(open -> open.setReading(reading));
         });
--- a/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
@@ -108,6 +108,25 @@
         }
     }
 
+    @Example
+    void aCallThatHasEndedDoesNotPauseTheNextCallOnItsConnection() throws IOException {
+        try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(answer("one"), answer("two"))))) {
+            RunOffer run = new RunOffer(new OfferKey(1, 1), new TargetRef("i", target.address()), "c", TIMEOUT);
+            ResultListener first = new ResultListener();
+            TargetExchange ended = connections.send(HEAD, false, run, first);
+            expect(TargetResult.ANSWERED, first.result.join());
+            ResultListener second = new ResultListener();
+            group.submit(() -> {
+                        connections.send(HEAD, false, run, second);
+                        // With several event loops, the peer's loop may not know yet that the call has ended.
+                        ended.setReading(false);
+                    })
+                    .syncUninterruptibly();
+            expect(TargetResult.ANSWERED, second.result.join());
+            expect(1, target.connections());
+        }
+    }
+
     private static final class ResultListener implements AnswerListener {
 
         private final CompletableFuture<TargetResult> result = new CompletableFuture<>();
