Test: a call started at the end of an answer without a length goes to another connection

Without the check of the target's FIN at the end of a call, every test passed: the connection was idle for the moment between the end of the answer and the handling of the FIN. A call started there, as admission does for a queued one, was sent on a connection that the target had closed. This test fails without the check (tried as a mutation).

--- a/node/src/test/java/org/heatherhaven/node/target/AnswersOfOtherCallsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/AnswersOfOtherCallsTest.java
@@ -284,6 +284,18 @@
         }
     }
 
+    @Example
+    void aCallStartedAtTheEndOfAnAnswerWithoutLengthIsNotSentOnItsConnection() throws IOException {
+        String unframed = "HTTP/1.1 200 OK\r\nId: a\r\n\r\none" + ScriptedTarget.CLOSE;
+        try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(unframed), List.of(FAILURE)))) {
+            Listener second = new Listener(result -> {});
+            Listener first = new Listener(result -> send(target, "GET", "b", false, second));
+            send(target, "GET", "a", false, first);
+            expect(new Outcome(TargetResult.ANSWERED, 200, "one"), first.outcome.join());
+            expect(FAILED_AT_TARGET, second.outcome.join());
+        }
+    }
+
     @Example
     void theAnswerToAHeadRequestHasNoBodyAfterAnAnswerToAnotherCall() throws IOException {
         String headAnswer = "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 5\r\n\r\n";
