The rest of an answer is dropped when its peer cancels the call

What callers saw: nothing at once. Where callers left while a long answer was sent to them, the node beside the target kept the rest of the answer and its entry of the call, until the process ended.

Cause: the rest waits for credit of the peer. After the end of the call at the target, the cancellation of the peer was passed to admission only, which knows the call no more.

Evidence: SlowPeerTest#anAnswerThatWaitsForItsPeerIsDroppedWhenThePeerCancels fails without the change, for the cancellation after the end of the answer; it covers the other order, too.

Why it works: a cancelled call ends as soon as its end at the target is known, without waiting for credit. The peer ignores all frames of a call that it has cancelled.

--- a/node/src/main/java/org/heatherhaven/node/target/OfferExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/OfferExchange.java
@@ -61,6 +61,9 @@
     private boolean headSent;
     private boolean bodyEnded;
 
+    /** True once the peer has cancelled the call; it then ignores all further frames of it. */
+    private boolean cancelled;
+
     private boolean ended;
     private Optional<AnswerEnd> answerEnd = Optional.empty();
     private Optional<TargetExchange> exchange = Optional.empty();
@@ -114,6 +117,12 @@
 
     @Override
     public void cancelled() {
+        cancelled = true;
+        if (answerEnd.isPresent()) {
+            // The call at the target has ended already, and the peer gives no more credit for the rest of the answer.
+            finishAnswer(answerEnd.get());
+            return;
+        }
         mailbox.put(new TrafficEvent.OfferCancelled(key));
     }
 
@@ -176,7 +185,8 @@
         onLoop(() -> finishAnswer(new AnswerEnd(complete, signal)));
     }
 
-    private void finishAnswer(AnswerEnd last) {
+    private void finishAnswer(AnswerEnd end) {
+        AnswerEnd last = cancelled ? new AnswerEnd(false, end.signal()) : end;
         if (last.complete() && bufferedHead.isPresent()) {
             sendCompleteAnswer(bufferedHead.get(), last.signal());
             return;
--- a/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
@@ -127,6 +127,32 @@
         }
     }
 
+    /** Returns a call whose answer has been read and waits for credit of its peer. */
+    private OfferExchange waitingForCredit(ScriptedTarget target) {
+        OfferKey key = new OfferKey(1, 1);
+        OfferExchange call =
+                new OfferExchange(key, new OfferHead(HEAD, false), new EmbeddedChannel(), mailbox, () -> {});
+        call.run(new RunOffer(key, new TargetRef("i", target.address()), "c", TIMEOUT), connections);
+        expect(new TargetEnded(key, TargetResult.ANSWERED), next());
+        return call;
+    }
+
+    @Example
+    void anAnswerThatWaitsForItsPeerIsDroppedWhenThePeerCancels() throws IOException {
+        String longBody = "x".repeat(FlowControl.BODY_WINDOW_BYTES + 1);
+        try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(answer(longBody), answer(longBody))))) {
+            OfferExchange cancelledLast = waitingForCredit(target);
+            cancelledLast.finish(true, Signal.withoutOverload(0));
+            expect(false, cancelledLast.hasEnded());
+            cancelledLast.cancelled();
+            expect(true, cancelledLast.hasEnded());
+            OfferExchange cancelledFirst = waitingForCredit(target);
+            cancelledFirst.cancelled();
+            cancelledFirst.finish(true, Signal.withoutOverload(0));
+            expect(true, cancelledFirst.hasEnded());
+        }
+    }
+
     private static final class ResultListener implements AnswerListener {
 
         private final CompletableFuture<TargetResult> result = new CompletableFuture<>();
