--- a/node/src/main/java/org/heatherhaven/node/target/OfferExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/OfferExchange.java
@@ -61,8 +61,8 @@
     private boolean headSent;
     private boolean bodyEnded;
 
-    /** True once the call at the target has ended; the connection may then serve another call. */
-    private boolean targetEnded;
+    /** True once the peer has cancelled the call; it then ignores all further frames of it. */
+    private boolean cancelled;
 
     private boolean ended;
     private Optional<AnswerEnd> answerEnd = Optional.empty();
@@ -117,6 +117,12 @@
 
     @Override
     public void cancelled() {
+        cancelled = true;
+        if (answerEnd.isPresent()) {
+            // The call at the target has ended already, and the peer gives no more credit for the rest of the answer.
+            finishAnswer(answerEnd.get());
+            return;
+        }
         mailbox.put(new TrafficEvent.OfferCancelled(key));
     }
 
@@ -179,7 +185,8 @@
         onLoop(() -> finishAnswer(new AnswerEnd(complete, signal)));
     }
 
-    private void finishAnswer(AnswerEnd last) {
+    private void finishAnswer(AnswerEnd end) {
+        AnswerEnd last = cancelled ? new AnswerEnd(false, end.signal()) : end;
         if (last.complete() && bufferedHead.isPresent()) {
             sendCompleteAnswer(bufferedHead.get(), last.signal());
             return;
@@ -213,8 +220,7 @@
 
     /**
      * Sends as much of the answer's body as the peer's window allows, then the end if it is known. Reading from the
-     * target is paused while a piece of the body waits for the window, but not once the answer has been read: its
-     * connection then waits for another call or serves one.
+     * target is paused while a piece of the body waits for the window.
      */
     private void flush() {
         if (ended || bufferedHead.isPresent()) {
@@ -232,7 +238,7 @@
             answerWindow -= data.readableBytes();
             write(Frame.chunk(key.stream(), data));
         }
-        exchange.ifPresent(sent -> sent.setReading(targetEnded || unsentAnswer.isEmpty()));
+        exchange.ifPresent(sent -> sent.setReading(unsentAnswer.isEmpty()));
         if (unsentAnswer.isEmpty() && answerEnd.isPresent()) {
             close(Frame.of(FrameType.END, key.stream(), answerEnd.get()));
         } else {
@@ -288,10 +294,7 @@
         @Override
         public void ended(TargetResult result) {
             // Queued on the event loop behind the pieces of the answer, so that the end can't overtake them.
-            onLoop(() -> {
-                targetEnded = true;
-                mailbox.put(new TrafficEvent.TargetEnded(key, result));
-            });
+            onLoop(() -> mailbox.put(new TrafficEvent.TargetEnded(key, result)));
         }
     }
 }
--- a/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
@@ -108,6 +108,51 @@
         }
     }
 
+    @Example
+    void aCallThatHasEndedDoesNotPauseTheNextCallOnItsConnection() throws IOException {
+        try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(answer("one"), answer("two"))))) {
+            RunOffer run = new RunOffer(new OfferKey(1, 1), new TargetRef("i", target.address()), "c", TIMEOUT);
+            ResultListener first = new ResultListener();
+            TargetExchange ended = connections.send(HEAD, false, run, first);
+            expect(TargetResult.ANSWERED, first.result.join());
+            ResultListener second = new ResultListener();
+            group.submit(() -> {
+                        connections.send(HEAD, false, run, second);
+                        // With several event loops, the peer's loop may not know yet that the call has ended.
+                        ended.setReading(false);
+                    })
+                    .syncUninterruptibly();
+            expect(TargetResult.ANSWERED, second.result.join());
+            expect(1, target.connections());
+        }
+    }
+
+    /** Returns a call whose answer has been read and waits for credit of its peer. */
+    private OfferExchange waitingForCredit(ScriptedTarget target) {
+        OfferKey key = new OfferKey(1, 1);
+        OfferExchange call =
+                new OfferExchange(key, new OfferHead(HEAD, false), new EmbeddedChannel(), mailbox, () -> {});
+        call.run(new RunOffer(key, new TargetRef("i", target.address()), "c", TIMEOUT), connections);
+        expect(new TargetEnded(key, TargetResult.ANSWERED), next());
+        return call;
+    }
+
+    @Example
+    void anAnswerThatWaitsForItsPeerIsDroppedWhenThePeerCancels() throws IOException {
+        String longBody = "x".repeat(FlowControl.BODY_WINDOW_BYTES + 1);
+        try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(answer(longBody), answer(longBody))))) {
+            OfferExchange cancelledLast = waitingForCredit(target);
+            cancelledLast.finish(true, Signal.withoutOverload(0));
+            expect(false, cancelledLast.hasEnded());
+            cancelledLast.cancelled();
+            expect(true, cancelledLast.hasEnded());
+            OfferExchange cancelledFirst = waitingForCredit(target);
+            cancelledFirst.cancelled();
+            cancelledFirst.finish(true, Signal.withoutOverload(0));
+            expect(true, cancelledFirst.hasEnded());
+        }
+    }
+
     private static final class ResultListener implements AnswerListener {
 
         private final CompletableFuture<TargetResult> result = new CompletableFuture<>();
