--- a/node/src/main/java/org/heatherhaven/node/platform/HttpPlatform.java
+++ b/node/src/main/java/org/heatherhaven/node/platform/HttpPlatform.java
@@ -58,9 +58,8 @@
                 .setEventLoopGroup(group)
                 .setConnectTimeout(timeout)
                 .setMaxConnections(MAX_CONNECTIONS)
-                // A response does not name its request, so a second copy of an earlier one on a kept connection would
-                // be
-                // taken for the response to the next call.
+                // A response does not name its request, so a second copy of it on a kept connection would be taken for
+                // the response to the next call.
                 .setKeepAlive(false)
                 // If the HTTP client retried a conditional write by itself, the result of the first attempt would look
                 // like a write of another node.
