--- a/node/src/main/java/org/heatherhaven/node/http/CallDialect.java
+++ b/node/src/main/java/org/heatherhaven/node/http/CallDialect.java
@@ -47,16 +47,6 @@
      */
     void addTargetHeaders(HttpHeaders out, CallHead head, TargetRef target, String context, Duration timeout);
 
-    /**
-     * Classifies the head of a target's response.
-     *
-     * @param head head of the call that was sent
-     * @param status HTTP status
-     * @param headers headers of the response
-     * @return the verdict
-     */
-    ResponseVerdict classifyResponse(CallHead head, int status, HttpHeaders headers);
-
     /**
      * Returns whether targets repeat the request's id in their responses.
      *
@@ -73,7 +63,7 @@
     Optional<String> responseId(HttpHeaders headers);
 
     /**
-     * Classifies the head of a target's response to a call that was sent with a context id.
+     * Classifies the head of a target's response.
      *
      * @param head head of the call that was sent
      * @param context context id that was sent with the call
@@ -81,9 +71,7 @@
      * @param headers headers of the response
      * @return the verdict
      */
-    default ResponseVerdict classifyResponse(CallHead head, String context, int status, HttpHeaders headers) {
-        return classifyResponse(head, status, headers);
-    }
+    ResponseVerdict classifyResponse(CallHead head, String context, int status, HttpHeaders headers);
 
     /**
      * Selects the headers of a response that are forwarded to the caller.
--- a/node/src/main/java/org/heatherhaven/node/http/DefaultDialect.java
+++ b/node/src/main/java/org/heatherhaven/node/http/DefaultDialect.java
@@ -98,11 +98,6 @@
         out.set(TIMEOUT_HEADER, Long.toString(timeout.toMillis()));
     }
 
-    @Override
-    public ResponseVerdict classifyResponse(CallHead head, int status, HttpHeaders headers) {
-        return status == SERVICE_UNAVAILABLE ? ResponseVerdict.OVERLOADED : ResponseVerdict.VALID;
-    }
-
     @Override
     public boolean answersCarryId() {
         return false;
@@ -116,8 +111,10 @@
     @Override
     public ResponseVerdict classifyResponse(CallHead head, String context, int status, HttpHeaders headers) {
         // Targets need not return the context id.
-        boolean own = headers.get(CONTEXT_HEADER, context).equals(context);
-        return own ? classifyResponse(head, status, headers) : ResponseVerdict.OTHER_CALL;
+        if (!headers.get(CONTEXT_HEADER, context).equals(context)) {
+            return ResponseVerdict.OTHER_CALL;
+        }
+        return status == SERVICE_UNAVAILABLE ? ResponseVerdict.OVERLOADED : ResponseVerdict.VALID;
     }
 
     @Override
--- a/node/src/test/java/org/heatherhaven/node/entry/IdentifyingDialect.java
+++ b/node/src/test/java/org/heatherhaven/node/entry/IdentifyingDialect.java
@@ -53,8 +53,8 @@
     }
 
     @Override
-    public ResponseVerdict classifyResponse(CallHead head, int status, HttpHeaders headers) {
-        return base.classifyResponse(head, status, headers);
+    public ResponseVerdict classifyResponse(CallHead head, String context, int status, HttpHeaders headers) {
+        return base.classifyResponse(head, context, status, headers);
     }
 
     @Override
--- a/node/src/test/java/org/heatherhaven/node/http/RecordedRefusalsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/http/RecordedRefusalsTest.java
@@ -196,7 +196,7 @@
         for (List<String> pairs : ANSWERS) {
             for (int status : new int[] {200, 204, 302, 399, 400, 404, 408, 421, 429, 500, 502, 503, 504}) {
                 seen.add(status + " " + pairs + ": "
-                        + describe(dialect.classifyResponse(head("the-team"), status, headers(pairs))));
+                        + describe(dialect.classifyResponse(head("the-team"), "context-1", status, headers(pairs))));
             }
         }
         RecordedText.require(DIRECTORY + "answers-judged.txt", seen);
--- a/node/src/test/java/org/heatherhaven/node/target/AnswersOfOtherCallsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/AnswersOfOtherCallsTest.java
@@ -62,7 +62,7 @@
         }
 
         @Override
-        public ResponseVerdict classifyResponse(CallHead head, int status, HttpHeaders headers) {
+        public ResponseVerdict classifyResponse(CallHead head, String context, int status, HttpHeaders headers) {
             if (!headers.get("Id", "").equals(head.requestId())) {
                 return ResponseVerdict.OTHER_CALL;
             }
--- a/node/src/test/java/org/heatherhaven/node/target/TargetConnectionsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/TargetConnectionsTest.java
@@ -44,7 +44,7 @@
         }
 
         @Override
-        public ResponseVerdict classifyResponse(CallHead head, int status, HttpHeaders headers) {
+        public ResponseVerdict classifyResponse(CallHead head, String context, int status, HttpHeaders headers) {
             if (!headers.get("Id", head.requestId()).equals(head.requestId())) {
                 return ResponseVerdict.OTHER_CALL;
             }
