A call cancelled before its start reaches its event loop is not sent

What callers saw: nothing directly. A target worked for a caller that had left, until its answer or the time limit.

Cause: events are handled on the thread that posts them. The start of a queued call is an effect of another call's end; on another thread it is queued on the event loop of the peer's connection. If that loop reads the peer's cancellation first, the cancellation runs at once, finds no call at the target and is lost; then the start runs.

Evidence: SlowPeerTest#aCallCancelledBeforeItsStartIsKnownToItsEventLoopIsNotSent fails without the change (ANSWERED). That this order comes about in a running node is read from the code, not seen.

Why it works: the cancellation is remembered, and the start then reports that the call was not sent, which is true.

--- a/node/src/main/java/org/heatherhaven/node/target/OfferExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/OfferExchange.java
@@ -64,6 +64,9 @@
     /** True once the peer has cancelled the call; it then ignores all further frames of it. */
     private boolean cancelled;
 
+    /** True once the call shall not run any more. */
+    private boolean aborted;
+
     private boolean ended;
     private Optional<AnswerEnd> answerEnd = Optional.empty();
     private Optional<TargetExchange> exchange = Optional.empty();
@@ -139,8 +142,8 @@
      */
     void run(Effect.RunOffer effect, TargetConnections connections) {
         onLoop(() -> {
-            if (!channel.isActive()) {
-                // The peer's connection is closed, so the answer could not be delivered: the call is not run.
+            if (aborted || !channel.isActive()) {
+                // The peer no longer waits for the answer, or its connection is closed: the call is not run.
                 mailbox.put(new TrafficEvent.TargetEnded(key, TargetResult.NOT_SENT));
                 return;
             }
@@ -154,9 +157,15 @@
         });
     }
 
-    /** Cancels the call if it was sent to the target; called by the control thread. */
+    /**
+     * Cancels the call at the target; called by the control thread. An effect that is run on the event loop can overtake
+     * {@link #run}, which is queued there if it was called on another thread.
+     */
     void abort() {
-        onLoop(() -> exchange.ifPresent(TargetExchange::abort));
+        onLoop(() -> {
+            aborted = true;
+            exchange.ifPresent(TargetExchange::abort);
+        });
     }
 
     /**
--- a/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
@@ -153,6 +153,20 @@
         }
     }
 
+    @Example
+    void aCallCancelledBeforeItsStartIsKnownToItsEventLoopIsNotSent() throws IOException {
+        try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(answer("one"))))) {
+            OfferKey key = new OfferKey(1, 1);
+            OfferExchange call =
+                    new OfferExchange(key, new OfferHead(HEAD, false), new EmbeddedChannel(), mailbox, () -> {});
+            // The start may still be queued on the event loop when the cancellation arrives there.
+            call.abort();
+            call.run(new RunOffer(key, new TargetRef("i", target.address()), "c", TIMEOUT), connections);
+            expect(new TargetEnded(key, TargetResult.NOT_SENT), next());
+            expect(0, target.connections());
+        }
+    }
+
     private static final class ResultListener implements AnswerListener {
 
         private final CompletableFuture<TargetResult> result = new CompletableFuture<>();
