--- a/node/src/main/java/org/heatherhaven/node/http/CallDialect.java
+++ b/node/src/main/java/org/heatherhaven/node/http/CallDialect.java
@@ -52,7 +52,7 @@
      *
      * @return false if responses without an id are normal
      */
-    boolean answersCarryId();
+    boolean answersCarryRequestId();
 
     /**
      * Returns the id of the request that a target's response names.
--- a/node/src/main/java/org/heatherhaven/node/http/DefaultDialect.java
+++ b/node/src/main/java/org/heatherhaven/node/http/DefaultDialect.java
@@ -99,7 +99,7 @@
     }
 
     @Override
-    public boolean answersCarryId() {
+    public boolean answersCarryRequestId() {
         return false;
     }
 
--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
@@ -75,7 +75,10 @@
     private String lastRequestId = "none";
 
     private Instant requestSentAt = Instant.MIN;
-    /** True from the end of a call on, until the next call or the close; a response decoded then answers no call. */
+    /**
+     * True from the end of a call until the next call, the close or the first response decoded, which answers no call;
+     * further ones are not reported.
+     */
     private boolean betweenCalls;
     /** Bytes received since the end of the last call. */
     private int idleBytes;
@@ -118,7 +121,7 @@
     }
 
     private void remember(String requestId) {
-        if (!dialect.answersCarryId()) {
+        if (!dialect.answersCarryRequestId()) {
             return;
         }
         if (recentIds.size() == MAX_RECENT_IDS) {
--- a/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
@@ -48,7 +48,7 @@
     private final EventLoop loop;
     private final CallDialect dialect;
     private final CallHead head;
-    private final String context;
+    private final String contextId;
     private final boolean hasBody;
     private final HttpRequest request;
     private final AnswerListener listener;
@@ -89,7 +89,7 @@
         this.loop = loop;
         this.dialect = dialect;
         this.head = head;
-        this.context = effect.context();
+        this.contextId = effect.context();
         this.hasBody = hasBody;
         this.listener = listener;
         this.bodyComplete = !hasBody;
@@ -212,7 +212,7 @@
     /** Handles the head of a response. */
     void received(HttpResponse response) {
         ResponseVerdict verdict =
-                dialect.classifyResponse(head, context, response.status().code(), response.headers());
+                dialect.classifyResponse(head, contextId, response.status().code(), response.headers());
         reportAnomaly(verdict, response);
         switch (verdict) {
             case VALID -> {
@@ -235,7 +235,7 @@
             report(
                     AnswerAnomaly.OTHER_CALL,
                     open -> open.describe(response) + ", " + open.sinceRequest() + ", attempt " + head.attemptKind());
-        } else if (dialect.answersCarryId()
+        } else if (dialect.answersCarryRequestId()
                 && dialect.responseId(response.headers()).isEmpty()) {
             report(
                     AnswerAnomaly.NO_ID,
