Reports of odd answers have a class of their own

AnomalyReports holds what is said of each kind and since which request; the connection says when. Behaviour and texts are the same: TargetAnomaliesTest, TargetConnectionsTest, AnswersOfOtherCallsTest, SlowPeerTest and the recorded lists pass unchanged.

--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
@@ -3,11 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.EnumSet;
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -15,7 +13,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -26,8 +23,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import org.heatherhaven.core.event.TrafficEvent.TargetAnomalySeen;
-import org.heatherhaven.core.model.AnswerAnomaly;
 import org.heatherhaven.core.model.TargetRef;
 import org.heatherhaven.node.http.CallDialect;
 
@@ -46,8 +41,6 @@
     /** Largest number of interim (1xx) responses to one call; a target that sends more may never stop. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
-    private static final int MAX_SHOWN_CHARS = 64;
-
     /** Number of request ids that are remembered; a second answer to an earlier request is not expected any more. */
     private static final int MAX_RECENT_IDS = 64;
 
@@ -56,8 +49,7 @@
     private final CallDialect dialect;
     private final InstantSource clock;
     private final TargetResponseDecoder decoder = new TargetResponseDecoder(this::bytesReceived);
-    /** Anomalies reported since the last request was sent; each is reported once, however often a target repeats it. */
-    private final Set<AnswerAnomaly> reported = EnumSet.noneOf(AnswerAnomaly.class);
+    private final AnomalyReports reports;
 
     /** Ids of the requests sent last, the oldest first. */
     private final Set<String> recentIds = new LinkedHashSet<>();
@@ -71,10 +63,6 @@
     private int interimResponses;
     /** Head of the response whose body is being read. */
     private Optional<HttpResponse> reading = Optional.empty();
-    /** Id of the request that was sent last. */
-    private String lastRequestId = "none";
-
-    private Instant requestSentAt = Instant.MIN;
     /**
      * True from the end of a call until the next call, the close or the first response decoded, which answers no call;
      * further ones are not reported.
@@ -88,6 +76,12 @@
         this.pool = pool;
         this.dialect = dialect;
         this.clock = clock;
+        this.reports = new AnomalyReports(dialect, clock, pool::anomalySeen);
+    }
+
+    /** Returns the reports of what the target sends beside or instead of its answers. */
+    AnomalyReports reports() {
+        return reports;
     }
 
     /** Returns the decoder to install ahead of this handler. */
@@ -135,10 +129,9 @@
         current = Optional.of(exchange);
         interimResponses = 0;
         betweenCalls = false;
-        reported.clear();
-        lastRequestId = exchange.head().requestId();
-        remember(lastRequestId);
-        requestSentAt = clock.instant();
+        String requestId = exchange.head().requestId();
+        remember(requestId);
+        reports.requestSent(requestId);
         exchange.connected(this);
     }
 
@@ -193,9 +186,7 @@
         idleBytes = 0;
         betweenCalls = true;
         if (decoder.undecodedBytes() > 0) {
-            report(
-                    AnswerAnomaly.LEFTOVER_BYTES,
-                    () -> decoder.undecodedBytes() + " bytes after the end of the response, " + sinceRequest());
+            reports.leftoverBytes(decoder.undecodedBytes());
             closeAfterRead();
             return;
         }
@@ -212,44 +203,8 @@
         channel.close();
     }
 
-    /** Reports an anomaly unless it was reported since the last request was sent. */
-    void report(AnswerAnomaly anomaly, Supplier<String> detail) {
-        if (reported.add(anomaly)) {
-            pool.anomalySeen(new TargetAnomalySeen(lastRequestId, anomaly, detail.get()));
-        }
-    }
-
-    /** Describes the head of a response for a report. */
-    String describe(HttpResponse response) {
-        String id = dialect.responseId(response.headers()).orElse("none");
-        return "status " + response.status().code() + ", id " + shorten(id) + ", " + length(response);
-    }
-
-    /** Cuts a header's value to a length that fits a report. */
-    static String shorten(String value) {
-        return value.substring(0, Math.min(value.length(), MAX_SHOWN_CHARS));
-    }
-
-    private static String length(HttpResponse response) {
-        if (HttpUtil.isTransferEncodingChunked(response)) {
-            return "chunked";
-        }
-        return HttpUtil.isContentLengthSet(response) ? "with a length" : "no length";
-    }
-
-    /** Returns the time since the head of the last request was written, for a report. */
-    String sinceRequest() {
-        return Duration.between(requestSentAt, clock.instant()).toMillis() + " ms after request " + lastRequestId;
-    }
-
-    private String idleTime() {
-        return idleBytes + " bytes in "
-                + Duration.between(idleSince, clock.instant()).toMillis() + " ms since the answer to " + lastRequestId;
-    }
-
     private void reportBrokenOff(String cause) {
-        reading.ifPresent(response ->
-                report(AnswerAnomaly.BROKEN_OFF, () -> cause + ", " + describe(response) + ", " + sinceRequest()));
+        reading.ifPresent(response -> reports.brokenOff(cause, response));
     }
 
     /** Takes the connection out of the pool if no call is in progress: the bytes belong to no answer to come. */
@@ -267,7 +222,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (betweenCalls && idleBytes > 0) {
-            report(AnswerAnomaly.IDLE_BYTES, () -> idleTime() + ", not decoded yet");
+            reports.idleBytes(idleBytes, idleSince);
         }
         ctx.fireChannelReadComplete();
     }
@@ -298,15 +253,13 @@
         }
         if (!object.decoderResult().isSuccess()) {
             ReferenceCountUtil.release(message);
-            reportUndecodable(object.decoderResult().cause());
+            reports.undecodable(object.decoderResult().cause(), reading);
             exchange.fail();
             return;
         }
         if (object instanceof HttpResponse response) {
             if (MergedHeads.isMerged(response)) {
-                report(
-                        AnswerAnomaly.INVALID,
-                        () -> "another response begins in the head, " + describe(response) + ", " + sinceRequest());
+                reports.mergedHeads(response);
                 exchange.fail();
                 return;
             }
@@ -339,26 +292,13 @@
             return;
         }
         betweenCalls = false;
-        report(AnswerAnomaly.IDLE_RESPONSE, () -> {
-            boolean valid = message.decoderResult().isSuccess();
-            return (valid && message instanceof HttpResponse response ? describe(response) : "not HTTP") + ", "
-                    + idleTime();
-        });
-    }
-
-    private void reportUndecodable(Throwable cause) {
-        boolean overLimit = cause instanceof TooLongFrameException;
-        report(
-                AnswerAnomaly.INVALID,
-                () -> (overLimit ? "over a limit: " : "not HTTP: ")
-                        + cause.getClass().getSimpleName() + ", "
-                        + reading.map(this::describe).orElse("in the head") + ", " + sinceRequest());
+        reports.idleObject(message, idleBytes, idleSince);
     }
 
     private void countInterimResponse(TargetExchange exchange) {
         interimResponses++;
         if (interimResponses > MAX_INTERIM_RESPONSES) {
-            report(AnswerAnomaly.INVALID, () -> interimResponses + " interim responses, " + sinceRequest());
+            reports.tooManyInterimResponses(interimResponses);
             exchange.fail();
         }
     }
--- a/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetExchange.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -23,7 +22,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import org.heatherhaven.core.effect.Effect.RunOffer;
 import org.heatherhaven.core.event.TrafficEvent.TargetResult;
-import org.heatherhaven.core.model.AnswerAnomaly;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
 import org.heatherhaven.node.EventLoops;
@@ -213,7 +211,7 @@
     void received(HttpResponse response) {
         ResponseVerdict verdict =
                 dialect.classifyResponse(head, contextId, response.status().code(), response.headers());
-        reportAnomaly(verdict, response);
+        connection.ifPresent(open -> open.reports().judged(verdict, head, response));
         switch (verdict) {
             case VALID -> {
                 List<Header> headers = dialect.responseHeaders(response.headers());
@@ -230,30 +228,6 @@
         }
     }
 
-    private void reportAnomaly(ResponseVerdict verdict, HttpResponse response) {
-        if (verdict == ResponseVerdict.OTHER_CALL) {
-            report(
-                    AnswerAnomaly.OTHER_CALL,
-                    open -> open.describe(response) + ", " + open.sinceRequest() + ", attempt " + head.attemptKind());
-        } else if (dialect.answersCarryRequestId()
-                && dialect.responseId(response.headers()).isEmpty()) {
-            report(
-                    AnswerAnomaly.NO_ID,
-                    open -> open.describe(response) + ", " + open.sinceRequest() + ", attempt " + head.attemptKind()
-                            + ", taken as " + verdict);
-        } else if (verdict == ResponseVerdict.INVALID) {
-            report(
-                    AnswerAnomaly.INVALID,
-                    open -> "rejected for its head: " + open.describe(response) + ", content encoding "
-                            + TargetConnection.shorten(
-                                    response.headers().get(HttpHeaderNames.CONTENT_ENCODING.toString(), "none")));
-        }
-    }
-
-    private void report(AnswerAnomaly anomaly, Function<TargetConnection, String> detail) {
-        connection.ifPresent(open -> open.report(anomaly, () -> detail.apply(open)));
-    }
-
     /** Handles a piece of a response's body; the body of a refusal or of another call's answer is discarded. */
     void received(ByteBuf data) {
         if (ended || !data.isReadable()) {
@@ -272,7 +246,7 @@
         data.release();
         if (discardedBytes > MAX_DISCARDED_BYTES) {
             if (readingForeignAnswer) {
-                report(AnswerAnomaly.INVALID, open -> "more than " + MAX_DISCARDED_BYTES + " bytes for another call");
+                connection.ifPresent(open -> open.reports().otherCallTooLong(MAX_DISCARDED_BYTES));
             }
             end(readingForeignAnswer ? TargetResult.FAILED : refusalResult.orElseThrow(), false);
         }
