--- a/review/1/ReusedAddress.java
+++ b/review/1/ReusedAddress.java
@@ -10,7 +10,7 @@
 public final class ReusedAddress {
 
     private static final String HOST = "hulo84.example";
-    private static final long REUSE_AFTER_MS = Long.getLong("reuse", 2_200);
+    private static final long REUSE_AFTER_MS = 2_200;
     private static final int CLIENTS_PER_MACHINE = 3;
 
     private static final AtomicInteger FOREIGN_RUNS = new AtomicInteger();
--- a/review/2/PlannedStop.java
+++ b/review/2/PlannedStop.java
@@ -15,7 +15,7 @@
     private static final int REQUESTS = 10;
     private static final int SLOTS = 4;
     private static final int WORK_MS = 1_600;
-    private static final int SENT_AFTER_MS = Integer.getInteger("after", 2_600);
+    private static final int SENT_AFTER_MS = 2_600;
     private static final int TIMEOUT_MS = 6_000;
     private static final int LOSS_SLACK_MS = 200;
     /** Start of the last sixth of the grace period of 6 s. */
--- a/review/standins/Target.java
+++ b/review/standins/Target.java
@@ -38,6 +38,8 @@
         public final OutputStream out;
         public final String id;
 
+        /** Whether the answer whose head was written last is sent in chunks. */
+        public boolean chunked;
         private final Socket socket;
 
         Run(Message head, InputStream in, OutputStream out, Socket socket) {
@@ -56,7 +58,12 @@
 
         /** Writes the head of an answer; a negative length means chunks. */
         public void head(int status, long length, String... more) throws IOException {
-            StringBuilder text = new StringBuilder("HTTP/1.1 " + status + " Status\r\n");
+            head("HTTP/1.1 " + status + " Status", length, more);
+        }
+
+        private void head(String first, long length, String... more) throws IOException {
+            chunked = length < 0;
+            StringBuilder text = new StringBuilder(first).append("\r\n");
             text.append(Wire.get("header.id")).append(": ").append(id).append("\r\n");
             text.append(Wire.get("header.seal")).append(": seal.").append(instance).append('.').append(id).append("\r\n");
             text.append(Wire.get("header.load")).append(": ").append(running.get()).append(",0,").append(slots).append("\r\n");
@@ -67,6 +74,13 @@
             out.write(text.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
         }
 
+        /** Answers with a status line of any form. */
+        public void answerWithLine(String line, byte[] body) throws IOException {
+            head(line, body.length);
+            out.write(body);
+            out.flush();
+        }
+
         public void answer(int status, byte[] body) throws IOException {
             head(status, body.length);
             out.write(body);
