--- a/review/1/ReusedAddress.java
+++ b/review/1/ReusedAddress.java
@@ -44,7 +44,7 @@
             store.operatorWrites("config", "main",
                     Wire.fill("config", 7, String.join(",", routes), String.join(",", services)));
             List<Machine> machines = new ArrayList<>();
-            for (String number : List.of("1", "2", "3")) {
+            for (String number : List.of("1", "2", "3", "4")) {
                 for (String name : names) {
                     machines.add(new Machine(name + "-" + number, name, "pk-south-a", store, folder));
                 }
@@ -75,8 +75,8 @@
                 }
             }
             Thread.sleep(3_000);
-            // One of three back ends of inventory and one of three of dispatch are gone for good.
-            int[] gone = {0, 5};
+            // Two of four back ends of inventory and two of four of dispatch are gone for good.
+            int[] gone = {0, 5, 6, 11};
             for (int index : gone) {
                 targets.get(index).crash();
             }
--- a/review/2/PlannedStop.java
+++ b/review/2/PlannedStop.java
@@ -68,6 +68,8 @@
                 }
             }
             long stopAt = Record.millis();
+            entry.process.onExit().thenRun(
+                    () -> Record.line("the stopped process ended %d ms after the signal", Record.millis() - stopAt));
             if (Trial.trouble()) {
                 entry.signal("TERM");
             }
--- a/review/standins/Machine.java
+++ b/review/standins/Machine.java
@@ -168,7 +168,14 @@
             }
             Thread.sleep(100);
         }
-        Trial.cannotRun("node " + name + " did not get ready");
+        String log = "";
+        try {
+            List<String> lines = Files.readAllLines(folder.resolve(name + ".log"));
+            log = String.join(" | ", lines.subList(Math.max(0, lines.size() - 3), lines.size()));
+        } catch (IOException e) {
+            Record.line("no log of %s: %s", name, e);
+        }
+        Trial.cannotRun("node " + name + (process.isAlive() ? " did not get ready in time: " : " ended: ") + log);
     }
 
     static void endAll() {
