--- a/review/2/PlannedStop.java
+++ b/review/2/PlannedStop.java
@@ -16,7 +16,7 @@
     private static final int SLOTS = 4;
     private static final int WORK_MS = 1_600;
     private static final int SENT_AFTER_MS = 2_600;
-    private static final int TIMEOUT_MS = 6_000;
+    private static final int TIMEOUT_MS = 5_000;
     private static final int LOSS_SLACK_MS = 200;
     /** Start of the last sixth of the grace period of 6 s. */
     private static final int LAST_SIXTH_MS = 5_000;
@@ -32,14 +32,14 @@
         Trial.run(folder -> {
             Store store = new Store();
             String routes = Wire.fill(
-                    "config.route", "deposit", HOST, "/deposit/", "unsafe", TIMEOUT_MS, 1_500, "pedidos", 2);
-            String services = Wire.fill("config.service", "pedidos") + "," + Wire.fill("config.service", "catalogo");
+                    "config.route", "reserve", HOST, "/reserve/", "unsafe", TIMEOUT_MS, 1_500, "bookings", 2);
+            String services = Wire.fill("config.service", "bookings") + "," + Wire.fill("config.service", "inventory");
             store.operatorWrites("config", "main", Wire.fill("config", 7, routes, services));
-            Machine entry = new Machine("entry", "catalogo", "tibas", store, folder);
-            Machine beside = new Machine("beside", "pedidos", "tibas", store, folder);
+            Machine entry = new Machine("entry", "inventory", "pk-south-a", store, folder);
+            Machine beside = new Machine("beside", "bookings", "pk-south-a", store, folder);
             Map<String, Long> started = new ConcurrentHashMap<>();
             Map<String, Long> finished = new ConcurrentHashMap<>();
-            Target pedidos = new Target("pedidos", "i-ped1", "tibas", beside.app, SLOTS, run -> {
+            Target bookings = new Target("bookings", "i-book1", "pk-south-a", beside.app, SLOTS, run -> {
                 run.readBody();
                 started.put(run.id, Record.millis());
                 Thread.sleep(run.id.startsWith("first") ? 10 : WORK_MS);
@@ -47,7 +47,7 @@
                 run.answer(200, new byte[100]);
                 Record.line("back end: %s is finished", run.id);
             });
-            Target catalogo = new Target("catalogo", "i-cat1", "tibas", entry.app, 58, run -> {
+            Target inventory = new Target("inventory", "i-inv1", "pk-south-a", entry.app, 58, run -> {
                 run.readBody();
                 run.answer(200, new byte[100]);
             });
@@ -55,8 +55,8 @@
             beside.start();
             entry.awaitReady();
             beside.awaitReady();
-            pedidos.reportTo(beside.controlAddress());
-            catalogo.reportTo(entry.controlAddress());
+            bookings.reportTo(beside.controlAddress());
+            inventory.reportTo(entry.controlAddress());
             Thread.sleep(4_000);
             List<Caller> callers = new ArrayList<>();
             for (int i = 0; i < REQUESTS; i++) {
@@ -81,7 +81,7 @@
                 outcomes[i] = new Outcome();
                 Threads.start("client " + i, () -> {
                     try {
-                        call(callers.get(number), "deposit-" + number, outcomes[number]);
+                        call(callers.get(number), "reserve-" + number, outcomes[number]);
                     } finally {
                         done.countDown();
                     }
@@ -92,7 +92,7 @@
             int lost = 0;
             for (int i = 0; i < REQUESTS; i++) {
                 Outcome o = outcomes[i];
-                String id = "deposit-" + i;
+                String id = "reserve-" + i;
                 Long start = started.get(id);
                 Record.say(
                         "%s: sent %d ms after the signal, at the back end %s, ended %d ms after it was sent: %s",
@@ -114,7 +114,7 @@
             caller.socket.setSoTimeout(TIMEOUT_MS + 2_000);
             byte[] body = "carpet for one".getBytes();
             outcome.sentAt = Record.millis();
-            caller.out.write(Caller.head("POST", "/deposit/" + id, HOST, id, TIMEOUT_MS, "Content-Length: " + body.length));
+            caller.out.write(Caller.head("POST", "/reserve/" + id, HOST, id, TIMEOUT_MS, "Content-Length: " + body.length));
             caller.out.write(body);
             Message head = Message.readHead(caller.in);
             if (head == null) {
