A status line that is none is no answer

Cause: Netty takes any integer as a status and any word as a protocol, and the verdict on a response only compared the number with 400; the entry node wrote it as it was. Ruled out: bytes copied through (the reason is the node's own). Change: the target's decoder judges the line itself; 101 and a body with 204 or 205 are no answers; the entry node judges the status of a frame; a request line of another protocol gets 400.

--- a/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
@@ -28,6 +28,7 @@
     private static final int MAX_QUEUED_OBJECTS = 64;
 
     private static final String NO_REQUEST_ID = "none";
+    private static final String NOT_HTTP = "not HTTP/1.1";
 
     private final EntryPoint entryPoint;
     private final EntrySettings settings;
@@ -88,9 +89,7 @@
             return;
         }
         refuseAndClose(
-                ctx,
-                requestId,
-                Refusal.notRun(reason, tooLong ? "the head of the request is too large" : "not HTTP/1.1"));
+                ctx, requestId, Refusal.notRun(reason, tooLong ? "the head of the request is too large" : NOT_HTTP));
     }
 
     /** Returns the identifier of a request as far as its head was read. */
@@ -105,6 +104,11 @@
                     ctx, requestId, Refusal.notRun(Reason.TOO_LARGE, "the body is larger than this node accepts"));
             return;
         }
+        if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                && !request.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+            refuseAndClose(ctx, requestId, Refusal.notRun(Reason.BAD_REQUEST, NOT_HTTP));
+            return;
+        }
         if (!request.uri().startsWith("/")) {
             refuseAndClose(ctx, requestId, Refusal.notRun(Reason.BAD_REQUEST, "the request target is not a path"));
             return;
--- a/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
@@ -253,15 +253,34 @@
                             return;
                         }
                         otherwise.run();
-                        stream.cancel();
-                        reportLostAttempt(Outcome.UNKNOWN);
+                        rejectAnswer();
                     },
                     otherwise);
         }
 
+        /** Starts an answer only if its status is one of a final response; otherwise the attempt counts as lost. */
+        private void runIfFinal(AnswerHead answer, Runnable action, Runnable otherwise) {
+            runInOrder(
+                    false,
+                    () -> {
+                        if (answer.isFinal()) {
+                            action.run();
+                            return;
+                        }
+                        otherwise.run();
+                        rejectAnswer();
+                    },
+                    otherwise);
+        }
+
+        private void rejectAnswer() {
+            stream.cancel();
+            reportLostAttempt(Outcome.UNKNOWN);
+        }
+
         @Override
         public void headReceived(AnswerHead answer) {
-            runInOrder(false, () -> writeHead(answer), () -> {});
+            runIfFinal(answer, () -> writeHead(answer), () -> {});
         }
 
         @Override
@@ -281,7 +300,7 @@
 
         @Override
         public void answerReceived(AnswerHead answer, ByteBuf data, Signal signal) {
-            runInOrder(false, () -> writeCompleteAnswer(answer, data, signal), data::release);
+            runIfFinal(answer, () -> writeCompleteAnswer(answer, data, signal), data::release);
         }
 
         @Override
--- a/node/src/main/java/org/heatherhaven/node/target/AnomalyReports.java
+++ b/node/src/main/java/org/heatherhaven/node/target/AnomalyReports.java
@@ -84,6 +84,14 @@
                 () -> "another response begins in the head, " + describe(response) + ", " + sinceRequest());
     }
 
+    /** Reports a switch to another protocol, or a body with a status that has none. */
+    void unexpectedForm(HttpResponse response) {
+        report(
+                AnswerAnomaly.INVALID,
+                () -> "a switch of protocols or a body that the status rules out, " + describe(response) + ", "
+                        + sinceRequest());
+    }
+
     /** Reports more interim responses to one request than are accepted. */
     void tooManyInterimResponses(int count) {
         report(AnswerAnomaly.INVALID, () -> count + " interim responses, " + sinceRequest());
--- a/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/target/TargetConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -263,6 +264,11 @@
                 exchange.fail();
                 return;
             }
+            if (hasUnexpectedForm(response)) {
+                reports.unexpectedForm(response);
+                exchange.fail();
+                return;
+            }
             readingInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             if (readingInterim) {
                 countInterimResponse(exchange);
@@ -287,6 +293,12 @@
         }
     }
 
+    /** Returns whether a response switches to another protocol, which this node never asks for, or has no valid body. */
+    private static boolean hasUnexpectedForm(HttpResponse response) {
+        return response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
+                || TargetResponseDecoder.announcesForbiddenBody(response);
+    }
+
     private void reportIdleObject(HttpObject message) {
         if (!betweenCalls || !channel.isActive()) {
             return;
--- a/node/src/main/java/org/heatherhaven/node/wire/AnswerHead.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/AnswerHead.java
@@ -10,4 +10,17 @@
  * @param status HTTP status code
  * @param headers end-to-end headers, in the order received
  */
-public record AnswerHead(int status, List<Header> headers) {}
+public record AnswerHead(int status, List<Header> headers) {
+
+    private static final int LOWEST_FINAL_STATUS = 200;
+    private static final int HIGHEST_STATUS = 599;
+
+    /**
+     * Returns whether the status is one of a final response, which can be passed on to a caller.
+     *
+     * @return false for an interim status, and for a number that is no status
+     */
+    public boolean isFinal() {
+        return status >= LOWEST_FINAL_STATUS && status <= HIGHEST_STATUS;
+    }
+}
--- a/node/src/test/java/org/heatherhaven/node/target/TargetAnomaliesTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/TargetAnomaliesTest.java
@@ -292,6 +292,47 @@
         failsWith(head("a") + "X: yHTTP/1.0 500 Oops\r\n\r\n", "another response begins in the head", "status 200");
     }
 
+    /** Clients were sent status lines such as "HTTP/1.1 20 OK" with the signature of the answer that they replaced. */
+    @Example
+    void anAnswerWhoseStatusLineIsNoneFailsTheCall() throws IOException {
+        String rest = " OK\r\nSigned: 1\r\nId: a\r\nContent-Length: 3\r\n\r\none";
+        for (String status : List.of("20", "2000", "2", "0200", "+200", "-200", "099", "600", "999", "2OO", "")) {
+            failsWith("HTTP/1.1 " + status + rest, "not HTTP", "in the head");
+        }
+        for (String version :
+                List.of("HTTP/1.", "HTTP/11", "HTP/1.1", "http/1.1", "HTTP/2.0", "xHTTP/1.1", "ICY/1.0")) {
+            failsWith(version + " 200" + rest, "not HTTP", "in the head");
+        }
+    }
+
+    /** The node never asks for another protocol, and what follows such a response is not HTTP/1.1. */
+    @Example
+    void aSwitchOfProtocolsFailsTheCall() throws IOException {
+        failsWith("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + answer("a", "one"), "status 101");
+    }
+
+    /** The caller got an empty success, as a status without content makes the decoder and the encoder drop the body. */
+    @Example
+    void anAnswerWithABodyThatItsStatusRulesOutFailsTheCall() throws IOException {
+        for (String status : List.of("204 No Content", "205 Reset Content")) {
+            String head = "HTTP/1.1 " + status + "\r\nSigned: 1\r\nId: a\r\n";
+            failsWith(head + "Content-Length: 3\r\n\r\none", "a body that the status rules out");
+            failsWith(head + "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n", "a body that");
+        }
+    }
+
+    @Example
+    void anAnswerWithoutContentIsValidWithoutABody() throws IOException {
+        String head = "HTTP/1.1 204 No Content\r\nSigned: 1\r\nId: ";
+        String unframed = head + "a\r\n\r\n";
+        String emptyLength = head + "b\r\nContent-Length: 0\r\n\r\n";
+        try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(unframed, emptyLength)))) {
+            expect(TargetResult.ANSWERED, call(target, "a"));
+            expect(TargetResult.ANSWERED, call(target, "b"));
+            expectNoFurtherReport();
+        }
+    }
+
     @Example
     void aForeignAnswerThatIsTooLongIsReportedAsRejected() throws IOException {
         try (ScriptedTarget target =
