--- a/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
@@ -28,7 +28,6 @@
     private static final int MAX_QUEUED_OBJECTS = 64;
 
     private static final String NO_REQUEST_ID = "none";
-    private static final String NOT_HTTP = "not HTTP/1.1";
 
     private final EntryPoint entryPoint;
     private final EntrySettings settings;
@@ -89,7 +88,9 @@
             return;
         }
         refuseAndClose(
-                ctx, requestId, Refusal.notRun(reason, tooLong ? "the head of the request is too large" : NOT_HTTP));
+                ctx,
+                requestId,
+                Refusal.notRun(reason, tooLong ? "the head of the request is too large" : "not HTTP/1.1"));
     }
 
     /** Returns the identifier of a request as far as its head was read. */
@@ -106,7 +107,7 @@
         }
         if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)
                 && !request.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
-            refuseAndClose(ctx, requestId, Refusal.notRun(Reason.BAD_REQUEST, NOT_HTTP));
+            refuseAndClose(ctx, requestId, Refusal.notRun(Reason.BAD_REQUEST, "not HTTP/1.1"));
             return;
         }
         if (!request.uri().startsWith("/")) {
