A call runs only at a target of the service it was admitted for

Cause: the node of a target ran whatever was offered; the service in the call's head was compared by nobody. Entry nodes hear of the change up to a probe interval late. Ruled out: a stale target at the node itself, it names the new id. Change: admission knows the service of its target and refuses calls for another one as not run, on arrival, when a waiting call would start and at each tick; such calls don't count in the retry budget.

--- a/core/src/main/java/org/heatherhaven/core/logic/admission/AdmissionLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/AdmissionLogic.java
@@ -75,6 +75,9 @@
         if (!state.target().acceptsCalls(now)) {
             return refuse(next, call, Reason.NO_TARGET, "there is no target here that takes calls", out);
         }
+        if (!state.target().runs(head)) {
+            return refuseForOtherService(next, call, out);
+        }
         if (!state.mode().limited()) {
             return run(next, call, now, out);
         }
@@ -245,6 +248,11 @@
                         next.withQueue(next.queue().minus(call)), call, Reason.NO_TARGET, "the target has left", out);
             }
         }
+        for (QueuedCall call : next.queue()) {
+            if (!next.target().runs(call.head())) {
+                next = refuseForOtherService(next.withQueue(next.queue().minus(call)), call, out);
+            }
+        }
         if (!now.isBefore(next.windowEndsAt())) {
             next = closeWindow(next, now);
         }
@@ -294,6 +302,10 @@
                     ? next.queue().stream().min(QueueRules.order(next)).orElseThrow()
                     : next.queue().get(0);
             next = next.withQueue(next.queue().minus(best));
+            if (!next.target().runs(best.head())) {
+                next = refuseForOtherService(next, best, out);
+                continue;
+            }
             next = QueueRules.cannotFinishInTime(next, best, now)
                     ? refuse(next, best, Reason.TOO_LATE, "the target could not finish it in time", out)
                     : run(next, best, now, out);
@@ -322,6 +334,16 @@
                 .withContexts(state.contexts().minus(done.context()));
     }
 
+    /**
+     * Refuses a call that was admitted for another service than the target runs. The sender chose this node before it
+     * heard that the target's address went to a target of another service.
+     */
+    private static AdmissionState refuseForOtherService(AdmissionState state, QueuedCall call, Outbox out) {
+        String detail = "the target here runs service " + state.target().service() + ", the call is for service "
+                + call.head().service();
+        return refuse(state, call, Reason.NO_TARGET, detail, out);
+    }
+
     private static AdmissionState refuse(
             AdmissionState state, QueuedCall call, Reason reason, String detail, Outbox out) {
         Signal signal = new Signal(
@@ -435,14 +457,16 @@
      *
      * @param state the current admission state
      * @param target reference to the process instance
+     * @param service service that it runs
      * @param slots number of calls that it processes concurrently
      * @return the new state
      */
-    public static AdmissionState targetAvailable(AdmissionState state, TargetRef target, int slots) {
-        boolean same = state.target().ref().filter(target::equals).isPresent();
+    public static AdmissionState targetAvailable(AdmissionState state, TargetRef target, String service, int slots) {
+        boolean same = state.target().ref().filter(target::equals).isPresent()
+                && state.target().service().equals(service);
         return same && state.slots() == slots
-                ? state.withTarget(AdmissionTarget.of(target))
-                : state.withReplacedTarget(target, slots);
+                ? state.withTarget(AdmissionTarget.of(target, service))
+                : state.withReplacedTarget(target, service, slots);
     }
 
     /**
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/AdmissionState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/AdmissionState.java
@@ -305,7 +305,7 @@
     }
 
     /** Resets limit and pressure for another process instance of the target; running calls of the old one continue. */
-    AdmissionState withReplacedTarget(TargetRef next, int nextSlots) {
+    AdmissionState withReplacedTarget(TargetRef next, String service, int nextSlots) {
         return new AdmissionState(
                 mode,
                 nextSlots,
@@ -320,7 +320,7 @@
                 thresholds,
                 windowEndsAt,
                 refuseFrom,
-                AdmissionTarget.of(next),
+                AdmissionTarget.of(next, service),
                 PressureController.INITIAL,
                 downstreamPressure);
     }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/NodeState.java
@@ -106,7 +106,8 @@
                 RouteThresholds.EMPTY,
                 RoutePressure.EMPTY,
                 CallGraphState.EMPTY,
-                target.map(targetRef -> AdmissionLogic.targetAvailable(admission, targetRef, self.slots()))
+                target.map(targetRef ->
+                                AdmissionLogic.targetAvailable(admission, targetRef, self.service(), self.slots()))
                         .orElse(admission),
                 RegistrationState.NONE,
                 EntryCallsState.EMPTY,
--- a/core/src/main/java/org/heatherhaven/core/logic/node/RetryAdmission.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/RetryAdmission.java
@@ -28,10 +28,13 @@
      * @return false if the call was refused
      */
     static boolean admits(EventContext context, OfferArrived offer) {
-        if (context.rules.retry() != RetryMode.BUDGET) {
+        CallHead head = offer.head();
+        boolean judgedByAdmission =
+                !head.service().equals(context.admission.target().service());
+        if (context.rules.retry() != RetryMode.BUDGET || judgedByAdmission) {
+            // Admission refuses a call for another service, which must not change the budget of this one.
             return true;
         }
-        CallHead head = offer.head();
         Division division = new Division(
                 context.fleet.nodesOfService(head.service()).size(),
                 context.fleet.nodesByService().size());
--- a/core/src/main/java/org/heatherhaven/core/logic/node/TargetEventHandler.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/TargetEventHandler.java
@@ -78,7 +78,8 @@
 
     /** Admits calls to the target, and announces its service and slots to the fleet. */
     private static void putInService(EventContext context, TargetReport report) {
-        context.admission = AdmissionLogic.targetAvailable(context.admission, report.target(), report.slots());
+        context.admission =
+                AdmissionLogic.targetAvailable(context.admission, report.target(), report.service(), report.slots());
         announce(context, report.service(), report.slots());
     }
 
--- a/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
+++ b/core/src/test/java/org/heatherhaven/core/logic/admission/AdmissionTest.java
@@ -55,7 +55,10 @@
     /** Returns a target whose four slots are all in use and whose service time is ten milliseconds. */
     private static AdmissionState busy() {
         AdmissionState state = AdmissionLogic.targetAvailable(
-                        AdmissionState.start(AdmissionMode.FAIR_SHED, SLOTS, START), new TargetRef("", ""), SLOTS)
+                        AdmissionState.start(AdmissionMode.FAIR_SHED, SLOTS, START),
+                        new TargetRef("", ""),
+                        "service",
+                        SLOTS)
                 .withLimit(SLOTS);
         Outbox out = new Outbox();
         state = state.withServiceTime(Duration.ofMillis(10));
@@ -144,7 +147,10 @@
     @Example
     void aTeamThatFloodsATargetDoesNotReduceTheFairShareOfAnother() {
         AdmissionState state = AdmissionLogic.targetAvailable(
-                        AdmissionState.start(AdmissionMode.FAIR_SHED, SLOTS, START), new TargetRef("", ""), SLOTS)
+                        AdmissionState.start(AdmissionMode.FAIR_SHED, SLOTS, START),
+                        new TargetRef("", ""),
+                        "service",
+                        SLOTS)
                 .withLimit(SLOTS);
         Map<String, Integer> served = new HashMap<>();
         List<OfferKey> running = new ArrayList<>();
--- a/core/src/test/java/org/heatherhaven/core/logic/admission/LeavingTargetTest.java
+++ b/core/src/test/java/org/heatherhaven/core/logic/admission/LeavingTargetTest.java
@@ -46,7 +46,10 @@
 
     private static AdmissionState leaving(int calls, Outbox out) {
         AdmissionState state = AdmissionLogic.targetAvailable(
-                AdmissionState.start(AdmissionMode.RANKED, SLOTS, NOW), new TargetRef("i-1", "10.0.0.1:80"), SLOTS);
+                AdmissionState.start(AdmissionMode.RANKED, SLOTS, NOW),
+                new TargetRef("i-1", "10.0.0.1:80"),
+                "service",
+                SLOTS);
         for (int call = 0; call < calls; call++) {
             state = AdmissionLogic.offered(state, new OfferKey(1, call), head(call), NOW, out);
         }
