A planned stop ends by answering all that the node holds

Cause: the drain's limit ended the process whatever it held. Ruled out: calls taken too late. Change: at the limit every call is withdrawn and its end awaited for 0.3 s, then answered: not run where the other node says so; calls of others that wait for this node's target are refused as not run.

--- a/core/src/main/java/org/heatherhaven/core/effect/Effect.java
+++ b/core/src/main/java/org/heatherhaven/core/effect/Effect.java
@@ -57,6 +57,14 @@
      */
     record CancelAttempt(long call, int attempt) implements Effect {}
 
+    /**
+     * Cancels an attempt at the node of the target, but still waits for its end, which tells whether the call has run.
+     *
+     * @param call number of the call
+     * @param attempt number of the attempt
+     */
+    record WithdrawAttempt(long call, int attempt) implements Effect {}
+
     /**
      * Sends an offered call to the target.
      *
--- a/core/src/main/java/org/heatherhaven/core/logic/admission/AdmissionLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/AdmissionLogic.java
@@ -452,6 +452,26 @@
         return state.withRefuseFrom(from);
     }
 
+    /**
+     * Refuses all queued calls as not run because the node ends, which would leave their senders in doubt.
+     *
+     * @param state the current admission state
+     * @param out receives the effects
+     * @return the new state, with an empty queue
+     */
+    public static AdmissionState refuseQueued(AdmissionState state, Outbox out) {
+        AdmissionState next = state;
+        for (QueuedCall call : state.queue()) {
+            next = refuse(
+                    next.withQueue(next.queue().minus(call)),
+                    call,
+                    Reason.DRAINING,
+                    "the node of the target ends",
+                    out);
+        }
+        return next;
+    }
+
     /**
      * Accepts calls for the given process instance of the target.
      *
--- a/core/src/main/java/org/heatherhaven/core/logic/call/EntryCall.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/call/EntryCall.java
@@ -47,7 +47,18 @@
         /** An idempotency permit. */
         PERMIT,
         /** The end of the current attempt. */
-        ANSWER
+        ANSWER,
+        /** The end of the current attempt, which was withdrawn because this node stops; no other attempt follows. */
+        WITHDRAWN;
+
+        /**
+         * Returns whether an attempt was sent whose end is not known.
+         *
+         * @return true while an attempt is in progress
+         */
+        public boolean attemptInProgress() {
+            return this == ANSWER || this == WITHDRAWN;
+        }
     }
 
     /**
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -1,6 +1,7 @@
 package org.heatherhaven.core.logic.node;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 
 import org.heatherhaven.core.effect.Effect;
@@ -141,6 +142,10 @@
      */
     private static void retryOrRefuse(EventContext context, EntryCall ended, Refusal refusal, boolean resendable) {
         EntryCall call = refusal.outcome() == Outcome.NOT_RUN ? ended : ended.withPossibleRun();
+        if (call.stage() == EntryCall.Stage.WITHDRAWN) {
+            refuse(context, call, stopping(refusal.outcome()));
+            return;
+        }
         CallInfo info = call.info();
         String service = info.service();
         boolean safeToRepeat = refusal.outcome() == Outcome.NOT_RUN || !info.unrepeatable();
@@ -232,9 +237,36 @@
         return refusal.retryAfter(delay);
     }
 
+    /**
+     * Asks for the end of a call because this node stops. A call that has not been sent is refused at once; an attempt is
+     * withdrawn, and its end tells whether the call has run.
+     */
+    static void withdraw(EventContext context, EntryCall call) {
+        if (call.stage() == EntryCall.Stage.WITHDRAWN) {
+            return;
+        }
+        if (call.stage() != EntryCall.Stage.ANSWER) {
+            refuseStopping(context, call);
+            return;
+        }
+        context.entryCalls = context.entryCalls.with(call.withStage(EntryCall.Stage.WITHDRAWN, Instant.MAX));
+        context.out.add(new Effect.WithdrawAttempt(call.info().number(), call.attempt()));
+    }
+
+    /** Refuses a call because this node stops, whatever it waits for. */
+    static void refuseStopping(EventContext context, EntryCall call) {
+        context.quota =
+                Borrowing.cancel(context.quota, call.info().team(), call.info().number());
+        refuse(context, call, stopping(EntryCallHandler.outcomeWhenAbandoned(call)));
+    }
+
+    private static Refusal stopping(Outcome outcome) {
+        return new Refusal(Reason.DRAINING, outcome, Duration.ZERO, "this node stops");
+    }
+
     /** Ends a call whose answer is no longer wanted, and cancels its attempt in progress. */
     static void abandon(EventContext context, EntryCall call, Reason reason) {
-        if (call.stage() == EntryCall.Stage.ANSWER) {
+        if (call.stage().attemptInProgress()) {
             context.out.add(new Effect.CancelAttempt(call.info().number(), call.attempt()));
             call.target()
                     .ifPresent(
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Draining.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Draining.java
@@ -17,6 +17,8 @@
 
     /** Time after the grace period within which leases are handed over; then the node leaves without finishing that. */
     private static final Duration HANDOVER_LIMIT = Duration.ofSeconds(4);
+    /** Time after the drain limit for the nodes of the targets to tell whether withdrawn calls have run. */
+    private static final Duration WITHDRAWAL_LIMIT = Duration.ofMillis(300);
 
     private Draining() {}
 
@@ -35,7 +37,8 @@
 
     /**
      * Hands leases over once the grace period has passed. Leaves the fleet when no calls are left and the handover is
-     * done or timed out, at the latest when the drain limit has passed.
+     * done or timed out. When the drain limit has passed, the calls that are left are withdrawn, and those whose end is
+     * not known soon are refused, so that the node never ends with a call unanswered.
      */
     static void tick(EventContext context) {
         Instant since = context.drainingSince.orElse(context.now);
@@ -43,16 +46,27 @@
             return;
         }
         LeaseHandovers.sendHeldLeases(context);
+        Instant limit = since.plus(context.rules.drain().limit());
+        boolean overdue = !context.now.isBefore(limit);
+        if (overdue) {
+            withdrawCalls(context);
+        }
         boolean idle = context.admission.inFlight() == 0
                 && context.entryCalls.byNumber().isEmpty();
         Instant handoverDeadline = since.plus(context.rules.drain().grace()).plus(HANDOVER_LIMIT);
         boolean handedOver = !LeaseHandovers.pending(context) || !context.now.isBefore(handoverDeadline);
-        boolean overdue = !context.now.isBefore(since.plus(context.rules.drain().limit()));
-        if ((idle && handedOver) || overdue) {
+        boolean withdrawalOver = !context.now.isBefore(limit.plus(WITHDRAWAL_LIMIT));
+        if (idle && (handedOver || overdue) || withdrawalOver) {
+            context.entryCalls.byNumber().values().forEach(call -> Attempts.refuseStopping(context, call));
             leave(context, idle);
         }
     }
 
+    private static void withdrawCalls(EventContext context) {
+        context.admission = AdmissionLogic.refuseQueued(context.admission, context.out);
+        context.entryCalls.byNumber().values().forEach(call -> Attempts.withdraw(context, call));
+    }
+
     /**
      * Announces the departure, removes this node's announcement from the platform, and ends the process.
      *
--- a/core/src/main/java/org/heatherhaven/core/logic/node/EntryCallHandler.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/EntryCallHandler.java
@@ -394,7 +394,7 @@
             case PERMIT ->
                 Attempts.refuse(
                         context, call, Refusal.unknown(Reason.LEDGER_UNAVAILABLE, "the ledger did not answer in time"));
-            case ANSWER -> {
+            case ANSWER, WITHDRAWN -> {
                 context.out.add(new Effect.CancelAttempt(call.info().number(), call.attempt()));
                 call.target()
                         .ifPresent(
@@ -424,7 +424,7 @@
      * for a permit, an earlier submission of its key may have run, and a sent attempt may be running.
      */
     static Outcome outcomeWhenAbandoned(EntryCall call) {
-        boolean sent = call.stage() == Stage.ANSWER;
+        boolean sent = call.stage().attemptInProgress();
         return sent || call.stage() == Stage.PERMIT ? Outcome.UNKNOWN : Outcome.NOT_RUN;
     }
 }
--- a/node/src/main/java/org/heatherhaven/node/NodeEffectRunner.java
+++ b/node/src/main/java/org/heatherhaven/node/NodeEffectRunner.java
@@ -82,6 +82,8 @@
             components.entryCalls().refuse(refuse);
         } else if (effect instanceof Effect.CancelAttempt cancel) {
             components.entryCalls().cancel(cancel);
+        } else if (effect instanceof Effect.WithdrawAttempt withdrawal) {
+            components.entryCalls().withdraw(withdrawal);
         } else if (effect instanceof Effect.RunOffer run) {
             components.offers().run(run, components.targetConnections());
         } else if (effect instanceof Effect.RefuseOffer refuse) {
--- a/node/src/main/java/org/heatherhaven/node/entry/EntryCalls.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryCalls.java
@@ -114,6 +114,15 @@
         find(effect.call()).ifPresent(exchange -> exchange.cancel(effect));
     }
 
+    /**
+     * Withdraws an attempt, whose end is still reported; does nothing if the call has ended.
+     *
+     * @param effect numbers of the call and of the attempt
+     */
+    public void withdraw(Effect.WithdrawAttempt effect) {
+        find(effect.call()).ifPresent(exchange -> exchange.withdraw(effect));
+    }
+
     private Optional<EntryExchange> find(long call) {
         return Optional.ofNullable(exchanges.get(call));
     }
--- a/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
@@ -177,6 +177,18 @@
         });
     }
 
+    /**
+     * Withdraws the attempt if it is the current one and has not begun to answer; called by the control thread. An answer
+     * that has begun goes on.
+     */
+    void withdraw(Effect.WithdrawAttempt effect) {
+        EventLoops.run(channel.eventLoop(), () -> {
+            if (attempt == effect.attempt() && attemptOpen && !headSent && !ended) {
+                stream.withdraw();
+            }
+        });
+    }
+
     /**
      * Answers with a refusal. Always queued on the event loop, so that a body read together with its head is complete
      * first and the connection can be reused.
--- a/node/src/main/java/org/heatherhaven/node/peer/AttemptStream.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/AttemptStream.java
@@ -22,6 +22,9 @@
      */
     void grantCredit(int bytes);
 
+    /** Cancels the call at the peer, which still tells the listener how the call has ended. */
+    void withdraw();
+
     /** Cancels the call at the peer. The listener of the call is not called any more once this has taken effect. */
     void cancel();
 }
--- a/node/src/main/java/org/heatherhaven/node/peer/PeerLink.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/PeerLink.java
@@ -292,6 +292,11 @@
             EventLoops.run(link.loop, () -> writeIfOffered(Frame.of(FrameType.CREDIT, number, bytes)));
         }
 
+        @Override
+        public void withdraw() {
+            EventLoops.run(link.loop, () -> writeIfOffered(Frame.withoutPayload(FrameType.CANCEL, number)));
+        }
+
         @Override
         public void cancel() {
             EventLoops.run(link.loop, () -> {
--- a/node/src/main/java/org/heatherhaven/node/peer/PeerLinks.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/PeerLinks.java
@@ -135,6 +135,11 @@
             // The call was not offered.
         }
 
+        @Override
+        public void withdraw() {
+            // The call was not offered.
+        }
+
         @Override
         public void cancel() {
             // The call was not offered.
--- a/node/src/test/java/org/heatherhaven/node/entry/EntryFixture.java
+++ b/node/src/test/java/org/heatherhaven/node/entry/EntryFixture.java
@@ -141,6 +141,18 @@
         links.close().syncUninterruptibly();
     }
 
+    /** Sends a frame from the peer to the node. */
+    void reply(Frame frame) {
+        links.writeAndFlush(frame).syncUninterruptibly();
+    }
+
+    /** Waits until the peer has received a frame of the type. */
+    void awaitFrame(FrameType type) {
+        while (!received.contains(type)) {
+            Thread.onSpinWait();
+        }
+    }
+
     NodeId peer() {
         return new NodeId("127.0.0.1:" + ((InetSocketAddress) peerListener.localAddress()).getPort());
     }
