One bad frame ends one call, not the connection between nodes

Cause: the receiving codec refused more than 1,000 headers, which the entry does not know of, and a frame that can't be read closed the connection that all calls share.

--- a/node/src/main/java/org/heatherhaven/node/peer/AcceptedLink.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/AcceptedLink.java
@@ -9,9 +9,14 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import org.heatherhaven.core.event.OfferKey;
 import org.heatherhaven.core.message.PeerMessage;
+import org.heatherhaven.core.model.Reason;
+import org.heatherhaven.core.model.Refusal;
+import org.heatherhaven.core.model.Signal;
+import org.heatherhaven.node.wire.BadFrameException;
 import org.heatherhaven.node.wire.Frame;
 import org.heatherhaven.node.wire.FrameType;
 import org.heatherhaven.node.wire.OfferHead;
+import org.heatherhaven.node.wire.RefusedHead;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,7 +28,7 @@
 final class AcceptedLink extends SimpleChannelInboundHandler<Frame> {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(AcceptedLink.class);
-    /** Limit of calls tracked for one connection; a peer that exceeds it is disconnected. */
+    /** Limit of calls tracked for one connection; further ones are refused. */
     private static final int MAX_CALLS = 10_000;
 
     /** Number of calls below which finished ones are not swept. */
@@ -63,16 +68,17 @@
             // A threshold of twice the open calls keeps the cost of sweeping constant per call.
             sweepThreshold = Math.max(MIN_SWEEP_THRESHOLD, 2 * calls.size());
         }
-        if (frame.stream() <= lastStream || calls.size() >= MAX_CALLS) {
-            LOGGER.warn(
-                    "Connection {} is closed: call {} was offered out of order or exceeds the limit of calls",
-                    number,
-                    frame.stream());
+        if (frame.stream() <= lastStream) {
+            LOGGER.warn("Connection {} is closed: call {} was offered out of order", number, frame.stream());
             peerListener.connectionRejected();
             ctx.close();
             return;
         }
         lastStream = frame.stream();
+        if (calls.size() >= MAX_CALLS) {
+            refuse(ctx, frame.stream(), Reason.NODE_OVERLOADED, "too many calls on one connection");
+            return;
+        }
         OfferKey key = new OfferKey(number, frame.stream());
         calls.put(frame.stream(), peerListener.callOffered(key, (OfferHead) frame.payload(), ctx.channel()));
     }
@@ -92,12 +98,36 @@
             case CANCEL -> call.cancelled();
             default -> {
                 frame.data().release();
-                peerListener.connectionRejected();
-                ctx.close();
+                call.cancelled();
             }
         }
     }
 
+    /** Refuses a call that was not handed on, so that its sender can try another node. */
+    private static void refuse(ChannelHandlerContext ctx, long stream, Reason reason, String detail) {
+        RefusedHead refused = new RefusedHead(Refusal.notRun(reason, detail), Signal.withoutOverload(0));
+        ctx.writeAndFlush(Frame.of(FrameType.REFUSED, stream, refused));
+    }
+
+    /** Ends the call of a frame that can't be decoded; the other calls of the connection go on. */
+    private void badFrame(ChannelHandlerContext ctx, BadFrameException bad) {
+        LOGGER.warn(
+                "Connection {}: a frame of type {} of call {} can't be decoded and is dropped: {}",
+                number,
+                bad.typeName(),
+                bad.stream(),
+                bad.getMessage());
+        if (bad.isOffer() && bad.stream() > lastStream) {
+            lastStream = bad.stream();
+            refuse(ctx, bad.stream(), Reason.LINK_LOST, "the offer of the call can't be decoded");
+            return;
+        }
+        OfferedCall call = calls.get(bad.stream());
+        if (call != null && !call.hasEnded()) {
+            call.cancelled();
+        }
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         calls.values().removeIf(OfferedCall::hasEnded);
@@ -120,6 +150,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (authenticated && cause.getCause() instanceof BadFrameException bad) {
+            badFrame(ctx, bad);
+            return;
+        }
         LOGGER.warn("Connection {} of a peer is closed after an error: {}", number, cause.toString());
         peerListener.connectionRejected();
         ctx.close();
--- a/node/src/main/java/org/heatherhaven/node/peer/PeerLink.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/PeerLink.java
@@ -8,27 +8,30 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.EncoderException;
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.concurrent.Future;
 import org.heatherhaven.core.message.PeerMessage;
 import org.heatherhaven.core.model.NodeId;
 import org.heatherhaven.core.model.Outcome;
 import org.heatherhaven.node.EventLoops;
 import org.heatherhaven.node.wire.AnswerEnd;
 import org.heatherhaven.node.wire.AnswerHead;
+import org.heatherhaven.node.wire.BadFrameException;
 import org.heatherhaven.node.wire.Frame;
 import org.heatherhaven.node.wire.FrameType;
 import org.heatherhaven.node.wire.OfferHead;
@@ -107,7 +110,8 @@
     void handshakeCompleted() {
         authenticated = true;
         while (!unsentFrames.isEmpty()) {
-            channel.write(unsentFrames.poll());
+            Frame frame = unsentFrames.poll();
+            channel.write(frame).addListener(done -> written(frame, done));
         }
         channel.flush();
     }
@@ -148,12 +152,34 @@
         if (terminated) {
             frame.data().release();
         } else if (authenticated) {
-            channel.writeAndFlush(frame).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+            channel.writeAndFlush(frame).addListener(done -> written(frame, done));
         } else if (!frame.type().isControl() || unsentFrames.size() < MAX_UNSENT_FRAMES) {
             unsentFrames.add(frame);
         }
     }
 
+    /**
+     * Handles the end of a write. If the frame could not be encoded, nothing of it was sent and only its call or message
+     * is lost; any other failure ends the connection.
+     */
+    private void written(Frame frame, Future<?> done) {
+        if (done.isSuccess()) {
+            return;
+        }
+        if (!(done.cause() instanceof EncoderException)) {
+            channel.close();
+            return;
+        }
+        LOGGER.warn(
+                "A frame of type {} of call {} to {} is dropped: {}",
+                frame.type(),
+                frame.stream(),
+                peer,
+                done.cause().getMessage());
+        Outcome outcome = frame.type() == FrameType.OFFER ? Outcome.NOT_RUN : Outcome.UNKNOWN;
+        Optional.ofNullable(listeners.remove(frame.stream())).ifPresent(listener -> listener.attemptLost(outcome));
+    }
+
     /** Ignores all further frames of a call. Called on the event loop. */
     void removeListener(long stream) {
         listeners.remove(stream);
@@ -213,7 +239,19 @@
                 listeners.remove(frame.stream());
                 listener.refused((RefusedHead) frame.payload());
             }
-            default -> ctx.close();
+            default -> {
+                frame.data().release();
+                loseCall(frame.stream());
+            }
+        }
+    }
+
+    /** Ends a call of which a frame is invalid, and cancels it at the peer; the other calls of the connection go on. */
+    private void loseCall(long stream) {
+        AttemptListener listener = listeners.remove(stream);
+        if (listener != null) {
+            write(Frame.withoutPayload(FrameType.CANCEL, stream));
+            listener.attemptLost(Outcome.UNKNOWN);
         }
     }
 
@@ -257,6 +295,16 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (authenticated && cause.getCause() instanceof BadFrameException bad) {
+            LOGGER.warn(
+                    "A frame of type {} of call {} from {} can't be decoded and is dropped: {}",
+                    bad.typeName(),
+                    bad.stream(),
+                    peer,
+                    bad.getMessage());
+            loseCall(bad.stream());
+            return;
+        }
         LOGGER.warn("Connection to {} failed: {}", peer, cause.toString());
         ctx.close();
     }
--- a/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/heatherhaven/node/settings/NodeSettingsReader.java
@@ -16,6 +16,7 @@
 import org.heatherhaven.core.logic.routing.RoutingMode;
 import org.heatherhaven.core.model.Zone;
 import org.heatherhaven.node.entry.EntrySettings;
+import org.heatherhaven.node.peer.FlowControl;
 import org.heatherhaven.node.settings.NodeSettings.TlsFiles;
 import org.heatherhaven.node.target.TargetSettings;
 
@@ -35,6 +36,15 @@
     private static final long MAX_COUNT = 1_000_000;
     private static final long MAX_BYTES = Integer.MAX_VALUE;
     private static final long MIN_BYTES = 1_024;
+    /** A piece of a body, or a whole answer with its head, fits into a frame of this size. */
+    private static final long MIN_FRAME_BYTES = 2L * FlowControl.BODY_WINDOW_BYTES;
+
+    /**
+     * The request line and the headers each have up to the limit of a head, and a byte of them takes up to two in a
+     * frame; the same again is left for what nodes add.
+     */
+    private static final int FRAME_BYTES_PER_HEADER_BYTE = 8;
+
     private static final long MAX_THREADS = 64;
     private static final long MAX_COALESCING_US = 20_000;
     private static final long NANOS_PER_MICRO = 1_000;
@@ -85,7 +95,13 @@
                 (int) limits.integer("header_bytes", MIN_BYTES, MAX_BYTES, Optional.of(DEFAULT_HEADER_BYTES)),
                 limits.integer("body_bytes", 0, Long.MAX_VALUE, Optional.of(DEFAULT_BODY_BYTES)),
                 (int) limits.integer("connections", 1, MAX_COUNT, Optional.of(DEFAULT_CONNECTIONS)));
-        int maxFrameBytes = (int) limits.integer("frame_bytes", MIN_BYTES, MAX_BYTES, Optional.of(DEFAULT_FRAME_BYTES));
+        int maxFrameBytes =
+                (int) limits.integer("frame_bytes", MIN_FRAME_BYTES, MAX_BYTES, Optional.of(DEFAULT_FRAME_BYTES));
+        if (entry.maxHeaderBytes() > maxFrameBytes / FRAME_BYTES_PER_HEADER_BYTE) {
+            throw limits.invalidValue(
+                    "header_bytes",
+                    "at most an eighth of frame_bytes, so that the head of each call fits into a frame");
+        }
         int mailboxCapacity =
                 (int) limits.integer("waiting_events", 1, MAX_COUNT, Optional.of(DEFAULT_MAILBOX_CAPACITY));
         int trafficThreads = (int) limits.integer("traffic_threads", 1, MAX_THREADS, Optional.of(DEFAULT_THREADS));
--- a/node/src/main/java/org/heatherhaven/node/target/OfferExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/target/OfferExchange.java
@@ -9,6 +9,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.EncoderException;
+import io.netty.util.concurrent.Future;
 import org.heatherhaven.core.effect.Effect;
 import org.heatherhaven.core.event.Event;
 import org.heatherhaven.core.event.OfferKey;
@@ -16,6 +18,8 @@
 import org.heatherhaven.core.event.TrafficEvent.TargetResult;
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
+import org.heatherhaven.core.model.Reason;
+import org.heatherhaven.core.model.Refusal;
 import org.heatherhaven.core.model.Signal;
 import org.heatherhaven.node.EventLoops;
 import org.heatherhaven.node.control.Mailbox;
@@ -235,7 +239,7 @@
         if (ended || bufferedHead.isPresent()) {
             return;
         }
-        while (!unsentAnswer.isEmpty() && answerWindow > 0) {
+        while (!ended && !unsentAnswer.isEmpty() && answerWindow > 0) {
             ByteBuf data = unsentAnswer.poll();
             if (data.readableBytes() > answerWindow) {
                 ByteBuf piece = data.readRetainedSlice(answerWindow);
@@ -247,6 +251,9 @@
             answerWindow -= data.readableBytes();
             write(Frame.chunk(key.stream(), data));
         }
+        if (ended) {
+            return;
+        }
         exchange.ifPresent(sent -> sent.setReading(unsentAnswer.isEmpty()));
         if (unsentAnswer.isEmpty() && answerEnd.isPresent()) {
             close(Frame.of(FrameType.END, key.stream(), answerEnd.get()));
@@ -255,20 +262,44 @@
         }
     }
 
-    /** Writes a frame; a failed write closes the connection, as the answer would otherwise continue with a gap. */
     private void write(Frame frame) {
-        channel.write(frame).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        channel.write(frame).addListener(this::written);
+    }
+
+    /**
+     * Handles the end of a write. If the frame could not be encoded, nothing of it was sent, and the peer is told that the
+     * call has failed; any other failure closes the connection, as the answer would otherwise continue with a gap.
+     */
+    private void written(Future<?> done) {
+        if (done.isSuccess()) {
+            return;
+        }
+        if (!(done.cause() instanceof EncoderException)) {
+            channel.close();
+            return;
+        }
+        Refusal refusal = Refusal.unknown(Reason.TARGET_FAILED, "the answer does not fit into a frame between nodes");
+        RefusedHead refused = new RefusedHead(refusal, Signal.withoutOverload(head.retries()));
+        release();
+        channel.writeAndFlush(Frame.of(FrameType.REFUSED, key.stream(), refused))
+                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        exchange.ifPresent(TargetExchange::abort);
     }
 
     /** Sends the last frame of the call and releases everything that was buffered. */
     private void close(Frame last) {
+        release();
+        channel.writeAndFlush(last).addListener(this::written);
+    }
+
+    /** Ends the call at this node and releases everything that was buffered. */
+    private void release() {
         ended = true;
         deregister.run();
         unsentAnswer.forEach(ByteBuf::release);
         unsentAnswer.clear();
         unsentRequestBody.forEach(ByteBuf::release);
         unsentRequestBody.clear();
-        channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     /** Passes what the target sends to the event loop of the peer's connection. */
--- a/node/src/main/java/org/heatherhaven/node/wire/CallCodec.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/CallCodec.java
@@ -37,7 +37,8 @@
  */
 final class CallCodec {
 
-    private static final int MAX_HEADERS = 1_000;
+    /** Fewest bytes that an encoded header takes: an empty name and an empty value. */
+    private static final int MIN_HEADER_BYTES = 2;
 
     /** Written in place of a root id that equals the request id. */
     private static final String SAME_AS_REQUEST = "";
@@ -108,12 +109,13 @@
      * @throws IOException if the bytes can't be unpacked
      */
     static Object read(FrameType type, ByteBuf in) throws IOException {
+        int payloadBytes = in.readableBytes();
         MessageUnpacker unpacker = UNPACKERS.get();
         unpacker.reset(new ArrayBufferInput(ByteBufUtil.getBytes(in)));
         return switch (type) {
-            case OFFER -> offer(unpacker);
-            case ANSWER -> answer(unpacker);
-            case REPLY -> new ReplyHead(answer(unpacker), signal(unpacker));
+            case OFFER -> offer(unpacker, payloadBytes);
+            case ANSWER -> answer(unpacker, payloadBytes);
+            case REPLY -> new ReplyHead(answer(unpacker, payloadBytes), signal(unpacker));
             case REFUSED -> new RefusedHead(refusal(unpacker), signal(unpacker));
             case END -> new AnswerEnd(unpacker.unpackBoolean(), signal(unpacker));
             case LOAN_ASK -> loanRequest(unpacker);
@@ -146,7 +148,7 @@
         packer.packBoolean(offer.hasBody());
     }
 
-    private static OfferHead offer(MessageUnpacker unpacker) throws IOException {
+    private static OfferHead offer(MessageUnpacker unpacker, int payloadBytes) throws IOException {
         String requestId = unpacker.unpackString();
         String rootId = unpacker.unpackString();
         CallHead call = new CallHead(
@@ -155,7 +157,7 @@
                 unpacker.unpackString(),
                 unpacker.unpackString(),
                 unpacker.unpackString(),
-                headers(unpacker),
+                headers(unpacker, payloadBytes),
                 unpacker.unpackString(),
                 unpacker.unpackString(),
                 unpacker.unpackString(),
@@ -188,10 +190,11 @@
         }
     }
 
-    private static List<Header> headers(MessageUnpacker unpacker) throws IOException {
+    private static List<Header> headers(MessageUnpacker unpacker, int payloadBytes) throws IOException {
         int size = unpacker.unpackArrayHeader();
-        if (size > MAX_HEADERS) {
-            throw new WireException(WireException.Code.BAD_PAYLOAD, size + " headers exceed the limit");
+        if (size > payloadBytes / MIN_HEADER_BYTES) {
+            throw new WireException(
+                    WireException.Code.BAD_PAYLOAD, size + " headers don't fit into " + payloadBytes + " bytes");
         }
         List<Header> headers = new ArrayList<>(size);
         for (int i = 0; i < size; i++) {
@@ -205,8 +208,8 @@
         headers(answer.headers(), packer);
     }
 
-    private static AnswerHead answer(MessageUnpacker unpacker) throws IOException {
-        return new AnswerHead(unpacker.unpackInt(), headers(unpacker));
+    private static AnswerHead answer(MessageUnpacker unpacker, int payloadBytes) throws IOException {
+        return new AnswerHead(unpacker.unpackInt(), headers(unpacker, payloadBytes));
     }
 
     private static void refused(RefusedHead refused, MessageBufferPacker packer) throws IOException {
--- a/node/src/main/java/org/heatherhaven/node/wire/FrameCodec.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/FrameCodec.java
@@ -5,12 +5,16 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageCodec;
+import io.netty.handler.codec.DecoderException;
 
 /**
  * Decodes a byte stream into frames and encodes frames into a byte stream.
  *
  * <p>A frame is its length in bytes (4 bytes, not counting themselves), the code of its type (1 byte), the number of
  * its stream (8 bytes) and its payload.
+ *
+ * <p>A payload that can't be decoded is reported as a {@link BadFrameException}, and decoding goes on with the next frame.
+ * A frame that is longer than the limit is not encoded: its write fails and nothing of it is sent.
  */
 public final class FrameCodec extends ByteToMessageCodec<Frame> {
 
@@ -46,7 +50,14 @@
         } else {
             WireCodec.write(frame.type(), frame.payload(), out);
         }
-        out.setInt(start, out.writerIndex() - start - LENGTH_BYTES);
+        int length = out.writerIndex() - start - LENGTH_BYTES;
+        if (length > maxFrameBytes) {
+            // The peer would close the connection, which carries other calls. Nothing of this frame is written.
+            throw new WireException(
+                    WireException.Code.BAD_PAYLOAD,
+                    "a frame of type " + frame.type() + " has " + length + " bytes, more than " + maxFrameBytes);
+        }
+        out.setInt(start, length);
     }
 
     private static void encodeReply(Frame frame, ByteBuf out) {
@@ -83,21 +94,26 @@
         in.skipBytes(LENGTH_BYTES);
         int code = in.readByte();
         long stream = in.readLong();
-        FrameType type = FrameType.of(code)
-                .orElseThrow(() -> new WireException(WireException.Code.UNKNOWN_TYPE, "unknown frame type " + code));
         ByteBuf payload = in.readRetainedSlice(length - HEADER_BYTES);
-        if (type == FrameType.CHUNK) {
+        if (code == FrameType.CHUNK.code()) {
             out.add(Frame.chunk(stream, payload));
             return;
         }
         try {
-            if (type == FrameType.REPLY) {
-                out.add(decodeReply(stream, payload));
-                return;
-            }
-            out.add(Frame.of(type, stream, WireCodec.read(type, payload)));
+            out.add(decodePayload(code, stream, payload));
+        } catch (WireException e) {
+            // The frame's length is known, so the frames behind it can still be read.
+            ctx.fireExceptionCaught(new DecoderException(new BadFrameException(code, stream, e)));
         } finally {
             payload.release();
         }
     }
+
+    private static Frame decodePayload(int code, long stream, ByteBuf payload) {
+        FrameType type = FrameType.of(code)
+                .orElseThrow(() -> new WireException(WireException.Code.UNKNOWN_TYPE, "unknown frame type " + code));
+        return type == FrameType.REPLY
+                ? decodeReply(stream, payload)
+                : Frame.of(type, stream, WireCodec.read(type, payload));
+    }
 }
--- a/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/SlowPeerTest.java
@@ -22,12 +22,16 @@
 import org.heatherhaven.core.model.CallHead;
 import org.heatherhaven.core.model.Header;
 import org.heatherhaven.core.model.Importance;
+import org.heatherhaven.core.model.Outcome;
 import org.heatherhaven.core.model.Signal;
 import org.heatherhaven.core.model.TargetRef;
 import org.heatherhaven.node.control.Mailbox;
 import org.heatherhaven.node.http.DefaultDialect;
 import org.heatherhaven.node.peer.FlowControl;
+import org.heatherhaven.node.wire.Frame;
+import org.heatherhaven.node.wire.FrameCodec;
 import org.heatherhaven.node.wire.OfferHead;
+import org.heatherhaven.node.wire.RefusedHead;
 
 /** A peer that takes its answer slowly, or cancels its call, affects no other call of the target's connection. */
 class SlowPeerTest {
@@ -164,6 +168,31 @@
         }
     }
 
+    /** The connection between the nodes was closed, with the calls of all other callers on it. */
+    @Example
+    void anAnswerThatFitsIntoNoFrameFailsItsOwnCallOnly() throws IOException {
+        int maxFrameBytes = 1_024;
+        String many = "HTTP/1.1 200 OK\r\n" + "X: y\r\n".repeat(maxFrameBytes);
+        String longBody = "x".repeat(FlowControl.BODY_WINDOW_BYTES);
+        for (String body : List.of("short", longBody)) {
+            String answer = many + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+            try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(answer)))) {
+                EmbeddedChannel peer = new EmbeddedChannel(new FrameCodec(maxFrameBytes));
+                OfferKey key = new OfferKey(1, 1);
+                OfferExchange call = new OfferExchange(key, new OfferHead(HEAD, false), peer, mailbox, () -> {});
+                call.run(new RunOffer(key, new TargetRef("i", target.address()), "c", TIMEOUT), connections);
+                next();
+                call.finish(true, Signal.withoutOverload(0));
+                expect(true, call.hasEnded());
+                expect(true, peer.isActive());
+                EmbeddedChannel decoder = new EmbeddedChannel(new FrameCodec(maxFrameBytes));
+                decoder.writeInbound((ByteBuf) peer.readOutbound());
+                RefusedHead refused = (RefusedHead) ((Frame) decoder.readInbound()).payload();
+                expect(Outcome.UNKNOWN, refused.refusal().outcome());
+            }
+        }
+    }
+
     private static final class ResultListener implements AnswerListener {
 
         private final CompletableFuture<TargetResult> result = new CompletableFuture<>();
