An odd entry of another writer is left out, and the others are read

Cause here: a list was parsed as one value, entries were used unchecked, and a failed effect took the other effects of its event with it. Processes did not end here; ruled out by the catch in ControlLoop, except for a stack overflow. AnswerHead's and NodeId's checks have names that the mappers don't take for properties.

--- a/node/src/main/java/org/heatherhaven/node/control/ControlLoop.java
+++ b/node/src/main/java/org/heatherhaven/node/control/ControlLoop.java
@@ -107,15 +107,22 @@
         try {
             NodeReducer.Result result = NodeReducer.reduce(state, event, clock.instant());
             state = result.state();
-            for (Effect effect : result.effects()) {
-                effectRunner.run(effect);
-            }
-        } catch (RuntimeException e) {
+            result.effects().forEach(this::run);
+        } catch (RuntimeException | StackOverflowError e) {
             // A failed event must not stop the node; if the reducer failed, the state before the event stays in use.
             LOGGER.error("Event {} failed", event.getClass().getSimpleName(), e);
         }
     }
 
+    private void run(Effect effect) {
+        try {
+            effectRunner.run(effect);
+        } catch (RuntimeException | StackOverflowError e) {
+            // The other effects of the event may belong to other calls.
+            LOGGER.error("Effect {} failed", effect.getClass().getSimpleName(), e);
+        }
+    }
+
     /**
      * Returns the state after the latest event; safe to call from any thread.
      *
--- a/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
@@ -275,7 +275,7 @@
             runInOrder(
                     false,
                     () -> {
-                        if (answer.isFinal()) {
+                        if (answer.hasFinalStatus()) {
                             action.run();
                             return;
                         }
--- a/node/src/main/java/org/heatherhaven/node/peer/PeerLinks.java
+++ b/node/src/main/java/org/heatherhaven/node/peer/PeerLinks.java
@@ -50,13 +50,14 @@
      * @param message the message
      */
     public void send(NodeId to, PeerMessage message) {
-        if (!inReconnectDelay(to)) {
+        if (to.namesAddress() && !inReconnectDelay(to)) {
             link(to).send(message);
         }
     }
 
     /**
-     * Offers a call to a peer; shortly after a failure of the connection the call is lost at once.
+     * Offers a call to a peer; shortly after a failure of the connection, or if the peer's address can't be connected to,
+     * the call is lost at once.
      *
      * @param to the peer
      * @param head head of the call
@@ -64,7 +65,7 @@
      * @return stream that sends the further frames of the call
      */
     public AttemptStream offer(NodeId to, OfferHead head, AttemptListener listener) {
-        if (inReconnectDelay(to)) {
+        if (!to.namesAddress() || inReconnectDelay(to)) {
             listener.attemptLost(Outcome.NOT_RUN);
             return new DiscardingStream();
         }
--- a/node/src/main/java/org/heatherhaven/node/platform/PlatformGateway.java
+++ b/node/src/main/java/org/heatherhaven/node/platform/PlatformGateway.java
@@ -221,7 +221,7 @@
                         ? platform.list(MEMBER_PREFIX, "", MAX_LISTED_MEMBERS, Duration.ZERO)
                         : CompletableFuture.completedFuture(found))
                 .thenAccept(objects -> events.accept(new PlatformEvent.MembersListed(objects.stream()
-                        .map(object -> StoredJson.read(object.value(), Member.class))
+                        .flatMap(object -> readMember(object).stream())
                         .toList())))
                 .exceptionally(cause -> {
                     LOGGER.debug("The announced members can't be read: {}", cause.toString());
@@ -229,6 +229,20 @@
                 });
     }
 
+    /** Reads an announcement; one that is no announcement is left out, as the others are still of use. */
+    private static Optional<Member> readMember(StoredObject object) {
+        try {
+            Member member = StoredJson.read(object.value(), Member.class);
+            if (member.id().namesAddress() && member.slots() >= 0) {
+                return Optional.of(member);
+            }
+            LOGGER.warn("Entry {} among the announced members is ignored: no address or slots", object.key());
+        } catch (PlatformException e) {
+            LOGGER.warn("Entry {} among the announced members is ignored: {}", object.key(), e.getMessage());
+        }
+        return Optional.empty();
+    }
+
     /**
      * Deletes the announcement of a process that has ended, unless a later process has replaced it.
      *
--- a/node/src/main/java/org/heatherhaven/node/platform/StoredJson.java
+++ b/node/src/main/java/org/heatherhaven/node/platform/StoredJson.java
@@ -30,10 +30,19 @@
     /** Reads a value from JSON; throws PlatformException if the bytes are not a complete value of the type. */
     static <T> T read(byte[] value, Class<T> type) {
         try {
-            return JSON.readValue(value, type);
+            T read = JSON.readValue(value, type);
+            if (read != null) {
+                return read;
+            }
         } catch (IOException e) {
-            throw new PlatformException(
-                    PlatformException.Code.MALFORMED_RESPONSE, "an object is not a " + type.getSimpleName());
+            throw notA(type);
         }
+        // JSON's null is read as a null reference.
+        throw notA(type);
+    }
+
+    private static PlatformException notA(Class<?> type) {
+        return new PlatformException(
+                PlatformException.Code.MALFORMED_RESPONSE, "an object is not a " + type.getSimpleName());
     }
 }
--- a/node/src/main/java/org/heatherhaven/node/wire/AnswerHead.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/AnswerHead.java
@@ -20,7 +20,7 @@
      *
      * @return false for an interim status, and for a number that is no status
      */
-    public boolean isFinal() {
+    public boolean hasFinalStatus() {
         return status >= LOWEST_FINAL_STATUS && status <= HIGHEST_STATUS;
     }
 }
