--- a/node/src/test/java/org/heatherhaven/node/target/AnswersOfOtherCallsTest.java
+++ b/node/src/test/java/org/heatherhaven/node/target/AnswersOfOtherCallsTest.java
@@ -46,6 +46,39 @@
     /** Number of proper prefixes of the second copy. */
     private static final int PREFIXES = 56;
 
+    /** Refusal of call {@code a}; the proof that nothing ran comes before the id. */
+    private static final String REFUSAL = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: a\r\nContent-Length: 2\r\n\r\nno";
+
+    private static final int REFUSAL_LENGTH = 61;
+
+    /** Where a second copy of a refusal is written. */
+    private enum Place {
+        BEHIND_THE_REFUSAL,
+        WHILE_IDLE,
+        BEFORE_THE_NEXT_ANSWER,
+        IN_PLACE_OF_THE_NEXT_ANSWER
+    }
+
+    /** How the end of an answer to call {@code a} is marked. */
+    private enum Framing {
+        LENGTH("200 OK", "Content-Length: 10\r\n\r\n0123456789"),
+        CHUNKS("200 OK", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: y\r\n\r\n"),
+        NO_CONTENT("204 No Content", "X: y\r\n\r\n"),
+        NONE("200 OK", "X: y\r\n\r\n");
+
+        private final String status;
+        private final String rest;
+
+        Framing(String status, String rest) {
+            this.status = status;
+            this.rest = rest;
+        }
+
+        private String answer() {
+            return "HTTP/1.1 " + status + "\r\nId: a\r\n" + rest;
+        }
+    }
+
     private static final String FAILURE = "HTTP/1.1 500 Failed\r\nId: b\r\nContent-Length: 6\r\n\r\nfailed";
     private static final Outcome FAILED_AT_TARGET = new Outcome(TargetResult.ANSWERED, 500, "failed");
 
@@ -317,6 +350,45 @@
         }
     }
 
+    /** Callers of requests that had run were told that they had not, after a second copy of an earlier refusal. */
+    @Property(generation = GenerationMode.EXHAUSTIVE, shrinking = ShrinkingMode.OFF)
+    void aSecondCopyOfARefusalProvesNothingAboutTheNextCall(
+            @ForAll @IntRange(min = 1, max = REFUSAL_LENGTH) int cut, @ForAll Place place) throws IOException {
+        String copy = REFUSAL.substring(0, cut);
+        List<String> script = switch (place) {
+            case BEHIND_THE_REFUSAL -> List.of(REFUSAL + copy, answer("b", "two") + ScriptedTarget.CLOSE);
+            case WHILE_IDLE ->
+                List.of(REFUSAL + ScriptedTarget.LATER + copy, answer("b", "two") + ScriptedTarget.CLOSE);
+            case BEFORE_THE_NEXT_ANSWER -> List.of(REFUSAL, copy + answer("b", "two") + ScriptedTarget.CLOSE);
+            case IN_PLACE_OF_THE_NEXT_ANSWER -> List.of(REFUSAL, copy + ScriptedTarget.CLOSE);
+        };
+        List<String> second = List.of(answer("b", "two") + ScriptedTarget.CLOSE);
+        try (ScriptedTarget target = new ScriptedTarget(List.of(script, second))) {
+            expect(TargetResult.REFUSED, call(target, "a").result());
+            if (place == Place.WHILE_IDLE) {
+                sendWhileIdle(target);
+            }
+            expectOwnOrFailed(new Outcome(TargetResult.ANSWERED, 200, "two"), call(target, "b"));
+        }
+    }
+
+    /** Callers got an empty or short body that was framed as whole. */
+    @Property(generation = GenerationMode.EXHAUSTIVE, shrinking = ShrinkingMode.OFF)
+    void anAnswerThatStopsInItsHeadOrBeforeItsEndIsNotPassedOn(@ForAll Framing framing, @ForAll boolean reset)
+            throws IOException {
+        String whole = framing.answer();
+        int cuts = framing == Framing.NONE ? whole.indexOf("\r\n\r\n") + 4 : whole.length();
+        for (int cut = 1; cut < cuts; cut++) {
+            String script = whole.substring(0, cut) + (reset ? ScriptedTarget.RESET : ScriptedTarget.CLOSE);
+            try (ScriptedTarget target = new ScriptedTarget(List.of(List.of(script)))) {
+                Outcome outcome = call(target, "a");
+                if (outcome.result() != TargetResult.FAILED) {
+                    throw new AssertionError("saw " + outcome + " after " + script);
+                }
+            }
+        }
+    }
+
     @Example
     void anAnswerWithContradictingLengthsIsNotPassedOn() throws IOException {
         notAnswered("Content-Length: 3\r\nContent-Length: 9\r\n\r\nabc");
