Every attempt of a call names the service where the call began

Change: a call keeps its origin from its arrival. Test: OriginServiceTest failed with the old reading ('the attempts name [bookings, pricing]'), passes now.

--- a/core/src/main/java/org/heatherhaven/core/logic/call/CallInfo.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/call/CallInfo.java
@@ -17,6 +17,7 @@
  * @param rootId identifier of the root request that it belongs to
  * @param request request as the caller sent it
  * @param route policy route
+ * @param originService service of this node's target when the call arrived
  * @param service service that runs it, chosen among those of the route
  * @param team team that it runs for, empty on open routes
  * @param importance importance inherited from the root request; the less important are shed first
@@ -35,6 +36,7 @@
         String rootId,
         CallRequest request,
         Route route,
+        String originService,
         String service,
         String team,
         Importance importance,
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -72,7 +72,7 @@
                 info.request().method(),
                 info.request().path(),
                 info.request().headers(),
-                context.originService(),
+                info.originService(),
                 info.service(),
                 info.route().name(),
                 info.team(),
