--- a/node/src/main/java/org/heatherhaven/node/entry/ClosingResponse.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/ClosingResponse.java
@@ -1,10 +1,10 @@
 package org.heatherhaven.node.entry;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
+import org.heatherhaven.node.http.LingeringClose;
 
 /** Writes the last response on a connection. */
 final class ClosingResponse {
@@ -14,6 +14,6 @@
     /** Writes a response with {@code Connection: close} and then closes the connection. */
     static void writeAndClose(Channel channel, HttpResponse response) {
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        LingeringClose.after(channel.writeAndFlush(response));
     }
 }
--- a/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/EntryExchange.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -30,6 +29,7 @@
 import org.heatherhaven.core.model.Refusal;
 import org.heatherhaven.core.model.Signal;
 import org.heatherhaven.node.EventLoops;
+import org.heatherhaven.node.http.LingeringClose;
 import org.heatherhaven.node.peer.AttemptListener;
 import org.heatherhaven.node.peer.AttemptStream;
 import org.heatherhaven.node.wire.AnswerEnd;
@@ -413,7 +413,7 @@
     private void writeLast(LastHttpContent last) {
         ChannelFuture written = channel.writeAndFlush(last);
         if (closeAfterAnswer) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            LingeringClose.after(written);
         }
         onEnded.accept(this, !closeAfterAnswer);
     }
--- a/node/src/main/java/org/heatherhaven/node/http/PageServer.java
+++ b/node/src/main/java/org/heatherhaven/node/http/PageServer.java
@@ -7,7 +7,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
@@ -18,11 +17,13 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -57,9 +58,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline()
-                                .addLast(
-                                        new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), new Handler());
+                        ch.pipeline().addLast(new HttpServerCodec(), new BodyLimit(), new Handler());
                     }
                 })
                 .bind(address)
@@ -72,6 +71,29 @@
         listener.close();
     }
 
+    /** Answers with a status and closes the connection. */
+    private static void closeWith(ChannelHandlerContext ctx, HttpResponseStatus status) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_LENGTH, 0)
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        LingeringClose.after(ctx.writeAndFlush(response));
+    }
+
+    /** Collects a request with its body, and refuses one whose body is too large. */
+    private static final class BodyLimit extends HttpObjectAggregator {
+
+        private BodyLimit() {
+            super(MAX_BODY_BYTES);
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            ReferenceCountUtil.release(oversized);
+            closeWith(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        }
+    }
+
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
         /** Completes once the replies to all requests before the next one are written: HTTP pairs them by order. */
@@ -79,6 +101,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            if (!request.decoderResult().isSuccess()) {
+                closeWith(ctx, HttpResponseStatus.BAD_REQUEST);
+                return;
+            }
             PageHandler.Request pageRequest = new PageHandler.Request(
                     request.method().name(),
                     request.uri(),
@@ -111,7 +137,7 @@
                 ctx.writeAndFlush(response);
             } else {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+                LingeringClose.after(ctx.writeAndFlush(response));
             }
         }
 
