--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -165,8 +165,8 @@
         context.recordDecision(
                 info.requestId(),
                 "retry",
-                "attempt " + call.attempt() + " ended with " + refusal.reason().label() + ", " + call.retriesLeft()
-                        + " retries left",
+                "attempt " + call.attempt() + " ended with " + refusal.reason().label() + ", " + refusal.detail() + ", "
+                        + call.retriesLeft() + " retries left",
                 "retry");
         context.out.add(new Effect.CountRetry(refusal.reason()));
         if (!reachedTarget) {
