--- a/core/src/main/java/org/heatherhaven/core/logic/admission/AdmissionLogic.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/admission/AdmissionLogic.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
-import java.util.Map;
 import java.util.Optional;
 
 import org.heatherhaven.core.effect.Effect;
@@ -23,26 +22,13 @@
 /** Reducer that decides which calls run at this node's target, wait in its queue, or are refused. */
 public final class AdmissionLogic {
 
-    /** Length of a measuring window. */
-    static final Duration WINDOW = Duration.ofMillis(100);
-
     /** How long queued calls may still be started at a target that has stopped accepting new calls. */
     private static final Duration QUEUE_GRACE = Duration.ofMillis(700);
 
     /** Weight of the latest call in the smoothed service time. */
     private static final double SERVICE_TIME_SMOOTHING = 0.1;
-    /** Weight of the latest saturated window in the smoothed capacity. */
-    private static final double CAPACITY_SMOOTHING = 0.3;
-    /** Factor by which the numbers of started calls of the teams decay with each window. */
-    private static final double SERVED_DECAY = 0.9;
-    /** Decayed number of started calls below which a team is removed. */
-    private static final double MIN_SERVED = 0.01;
-    /** Factor on the concurrency limit after a window with too many failures, for targets that report no slots. */
-    private static final double LIMIT_DECREASE_FACTOR = 0.9;
     /** Calls added to the concurrency limit for each answered call, for targets that report no slots. */
     private static final double LIMIT_INCREASE = 0.5;
-    /** Fraction of the calls ended in a window that may fail without lowering the limit; one always may. */
-    private static final double TOLERATED_FAILURE_FRACTION = 0.1;
 
     private AdmissionLogic() {}
 
@@ -254,44 +240,11 @@
             }
         }
         if (!now.isBefore(next.windowEndsAt())) {
-            next = closeWindow(next, now);
+            next = MeasuringWindow.close(next, now);
         }
         return dispatch(next, now, out);
     }
 
-    /** Updates the limit, the pressure, the capacity and the thresholds from the counts of the window that ends. */
-    private static AdmissionState closeWindow(AdmissionState state, Instant now) {
-        WindowCounts counts = state.windowCounts();
-        AdmissionState next = state;
-        int finished = counts.completions() + counts.failures();
-        if (!state.target().reportsSlots() && counts.failures() > Math.max(1, finished * TOLERATED_FAILURE_FRACTION)) {
-            next = next.withLimit(Math.max(QueueRules.MIN_LIMIT, next.limit() * LIMIT_DECREASE_FACTOR));
-        }
-        next = next.withServed(decayServed(next))
-                .withPressureController(next.pressureController()
-                        .windowClosed(WINDOW, next.limit(), next.serviceTime(), counts.saturated()));
-        if (!counts.saturated() || !next.mode().shedsBuckets()) {
-            return next.withWindow(next.capacity(), next.thresholds().relaxed(), now.plus(WINDOW));
-        }
-        double capacity = next.capacity() == 0
-                ? counts.completions()
-                : next.capacity() + CAPACITY_SMOOTHING * (counts.completions() - next.capacity());
-        // Half of what the queue lacks to be half full is admitted in addition to the calls that the target answers.
-        double room = capacity
-                + Math.max(0, QueueRules.capacity(next) / 2.0 - next.queue().size()) / 2;
-        AdmissionThresholds nextThresholds = next.thresholds().adjusted(counts.arrivals(), room);
-        return next.withWindow(capacity, nextThresholds, now.plus(WINDOW));
-    }
-
-    private static PMap<String, Double> decayServed(AdmissionState state) {
-        PMap<String, Double> served = state.served();
-        for (Map.Entry<String, Double> entry : state.served().entrySet()) {
-            double left = entry.getValue() * SERVED_DECAY;
-            served = left < MIN_SERVED ? served.minus(entry.getKey()) : served.plus(entry.getKey(), left);
-        }
-        return served;
-    }
-
     /** Starts queued calls up to the concurrency limit, and refuses those that could not finish in time. */
     private static AdmissionState dispatch(AdmissionState state, Instant now, Outbox out) {
         AdmissionState next = state;
@@ -396,50 +349,6 @@
         return new TrafficClass(head.importance(), head.team());
     }
 
-    /**
-     * Finds a running call by the context id given to the target.
-     *
-     * @param state the current admission state
-     * @param context context id given to the target
-     * @return the call, absent if it is no longer running
-     */
-    public static Optional<RunningCall> findByContext(AdmissionState state, String context) {
-        return Optional.ofNullable(state.contexts().get(context))
-                .map(key -> state.running().get(key));
-    }
-
-    /**
-     * Transfers part of a running call's retry budget to a child call.
-     *
-     * @param state the current admission state
-     * @param parent the running call that makes the child call
-     * @param retries number of retries that the child call receives
-     * @return the new state
-     */
-    public static AdmissionState lendRetries(AdmissionState state, RunningCall parent, int retries) {
-        RunningCall next = parent.withRetries(parent.retries() - retries).withChildren(parent.children() + 1);
-        return state.withRunning(state.running().plus(parent.call().key(), next));
-    }
-
-    /**
-     * Handles the end of a child call: returns its unspent retries to the parent and lowers the parent's threshold to
-     * the one reported for the child.
-     *
-     * @param state the current admission state
-     * @param context context id of the parent call
-     * @param retries number of retries that the child call did not use
-     * @param threshold admission threshold reported with the child call, of {@link Signal#BUCKETS} hash buckets
-     * @return the new state, unchanged if the parent has ended
-     */
-    public static AdmissionState childEnded(AdmissionState state, String context, int retries, int threshold) {
-        return findByContext(state, context)
-                .map(parent -> parent.withRetries(parent.retries() + retries)
-                        .withChildThreshold(Math.min(parent.childThreshold(), threshold)))
-                .map(parent ->
-                        state.withRunning(state.running().plus(parent.call().key(), parent)))
-                .orElse(state);
-    }
-
     /**
      * Refuses new calls from a given time on because the node is shutting down; the time leaves peers a grace period to
      * receive its status by gossip.
--- a/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/Attempts.java
@@ -8,7 +8,7 @@
 import org.heatherhaven.core.effect.Timing;
 import org.heatherhaven.core.event.TrafficEvent.AttemptLost;
 import org.heatherhaven.core.event.TrafficEvent.AttemptRefused;
-import org.heatherhaven.core.logic.admission.AdmissionLogic;
+import org.heatherhaven.core.logic.admission.NestedCalls;
 import org.heatherhaven.core.logic.call.CallInfo;
 import org.heatherhaven.core.logic.call.EntryCall;
 import org.heatherhaven.core.logic.pressure.RetryAfterDelay;
@@ -288,7 +288,7 @@
                 Timing.WHOLE_CALL, Duration.between(call.info().arrivedAt(), context.now)));
         call.info()
                 .parentContext()
-                .ifPresent(parentContext -> context.admission = AdmissionLogic.childEnded(
+                .ifPresent(parentContext -> context.admission = NestedCalls.childEnded(
                         context.admission, parentContext, call.retriesLeft(), call.admissionThreshold()));
     }
 }
--- a/core/src/main/java/org/heatherhaven/core/logic/node/EntryCallHandler.java
+++ b/core/src/main/java/org/heatherhaven/core/logic/node/EntryCallHandler.java
@@ -14,7 +14,7 @@
 import org.heatherhaven.core.event.TrafficEvent.CallRequest;
 import org.heatherhaven.core.event.TrafficEvent.EntryPoint;
 import org.heatherhaven.core.logic.Hashes;
-import org.heatherhaven.core.logic.admission.AdmissionLogic;
+import org.heatherhaven.core.logic.admission.NestedCalls;
 import org.heatherhaven.core.logic.admission.QueuedCall;
 import org.heatherhaven.core.logic.admission.RunningCall;
 import org.heatherhaven.core.logic.call.CallInfo;
@@ -253,7 +253,7 @@
      */
     private static void acceptNestedCall(EventContext context, CallArrived event, String requestId, Route route) {
         Optional<String> contextId = event.request().context();
-        Optional<RunningCall> parent = contextId.flatMap(id -> AdmissionLogic.findByContext(context.admission, id));
+        Optional<RunningCall> parent = contextId.flatMap(id -> NestedCalls.findByContext(context.admission, id));
         if (parent.isEmpty()) {
             rejectOnArrival(
                     context,
@@ -273,7 +273,7 @@
         context.callGraph = CallGraphLogic.callMade(context.callGraph, route.name());
         QueuedCall parentCall = parent.get().call();
         int retries = context.rules.retry().retriesForChild(parent.get().retries());
-        context.admission = AdmissionLogic.lendRetries(context.admission, parent.get(), retries);
+        context.admission = NestedCalls.lendRetries(context.admission, parent.get(), retries);
         Instant ownDeadline =
                 context.now.plus(shorter(event.request().timeout().orElse(route.timeout()), route.timeout()));
         CallInfo info = new CallInfo(
