--- a/node/src/main/java/org/heatherhaven/node/wire/BadFrameException.java
+++ b/node/src/main/java/org/heatherhaven/node/wire/BadFrameException.java
@@ -1,8 +1,8 @@
 package org.heatherhaven.node.wire;
 
 /**
- * A frame whose type is unknown or whose payload can't be decoded, on a connection whose other frames are not affected. Only the call that the
- * frame belongs to, or the control message that it carries, is lost.
+ * A frame whose type is unknown or whose payload can't be decoded, on a connection whose other frames are not affected.
+ * Only the call that the frame belongs to, or the control message that it carries, is lost.
  */
 public final class BadFrameException extends WireException {
 
