A path with bytes beyond ASCII is a bad request

Cause: the bytes were read as characters and sent on in another encoding. Change: 400; visible ASCII is passed on as it came. Test: StatusFramesTest's new example failed before (the request became a call: 'Read timed out'), passes now; the one on valid characters passed before, too.

--- a/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
+++ b/node/src/main/java/org/heatherhaven/node/entry/CallerConnection.java
@@ -110,7 +110,7 @@
             refuseAndClose(ctx, requestId, Refusal.notRun(Reason.BAD_REQUEST, "not HTTP/1.1"));
             return;
         }
-        if (!request.uri().startsWith("/")) {
+        if (!isPath(request.uri())) {
             refuseAndClose(ctx, requestId, Refusal.notRun(Reason.BAD_REQUEST, "the request target is not a path"));
             return;
         }
@@ -142,6 +142,14 @@
         }
     }
 
+    /**
+     * Returns whether a request target is a path of visible ASCII characters (RFC 3986, 2). Other bytes would reach the
+     * target in another encoding.
+     */
+    private static boolean isPath(String uri) {
+        return uri.startsWith("/") && uri.chars().allMatch(c -> c >= '!' && c <= '~');
+    }
+
     /** Refuses a request that did not become a call, and closes the connection. */
     private void refuseAndClose(ChannelHandlerContext ctx, String requestId, Refusal refusal) {
         closing = true;
--- a/node/src/test/java/org/heatherhaven/node/entry/StatusFramesTest.java
+++ b/node/src/test/java/org/heatherhaven/node/entry/StatusFramesTest.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import io.netty.buffer.Unpooled;
 import net.jqwik.api.Example;
@@ -62,6 +64,34 @@
         }
     }
 
+    /** Such a path was sent on in another encoding, so that the target ran a request that nobody sent. */
+    @Example
+    void aPathWithAByteThatNoRequestLineHoldsIsABadRequest() throws IOException {
+        try (EntryFixture entry = new EntryFixture(10, (stream, offer) -> List.of())) {
+            for (String path :
+                    List.of("/\u00e9", "/caf\u00c3\u00a9", "/x?y=\u00ff", "/a\u0001", "/a\u007f", "/\u0080")) {
+                Socket caller = entry.send("GET " + path + " HTTP/1.1\r\nHost: a\r\nId: mine\r\n\r\n");
+                caller.setSoTimeout(GIVE_UP_MS);
+                String answer = EntryFixture.readAll(caller);
+                if (!answer.startsWith("HTTP/1.1 400 ")) {
+                    throw new AssertionError("after " + path + " the caller got " + answer);
+                }
+            }
+        }
+    }
+
+    @Example
+    void everyByteThatIsValidInARequestLineIsPassedOn() throws IOException {
+        String path =
+                IntStream.rangeClosed('!', '~').mapToObj(Character::toString).collect(Collectors.joining("", "/", ""));
+        try (EntryFixture entry = new EntryFixture(10, (stream, offer) -> List.of())) {
+            entry.send("GET " + path + " HTTP/1.1\r\nHost: a\r\nId: mine\r\n\r\n");
+            if (!((CallArrived) entry.next()).request().path().equals(path)) {
+                throw new AssertionError("the path was changed");
+            }
+        }
+    }
+
     @Example
     void aRequestLineOfAnotherProtocolIsABadRequest() throws IOException {
         try (EntryFixture entry = new EntryFixture(10, (stream, offer) -> List.of())) {
