--- a/review/standins-3/Http.java
+++ b/review/standins-3/Http.java
@@ -1,3 +1,5 @@
+package review3;
+
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
--- a/review/standins-3/LateReport.java
+++ b/review/standins-3/LateReport.java
@@ -1,3 +1,5 @@
+package review3;
+
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
--- a/review/standins-3/Names.java
+++ b/review/standins-3/Names.java
@@ -1,3 +1,5 @@
+package review3;
+
 import java.io.IOException;
 import java.io.Reader;
 import java.io.UncheckedIOException;
--- a/review/standins-3/Scenario.java
+++ b/review/standins-3/Scenario.java
@@ -1,3 +1,5 @@
+package review3;
+
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
--- a/review/standins-3/Store.java
+++ b/review/standins-3/Store.java
@@ -1,3 +1,5 @@
+package review3;
+
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
--- a/review/standins-3/WithdrawnKey.java
+++ b/review/standins-3/WithdrawnKey.java
@@ -1,3 +1,5 @@
+package review3;
+
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -58,6 +60,7 @@
         }
         backends.add(new Backend(record, added, "bookings", "i-3"));
         backends.get(2).startReports();
+        added.awaitReady(10);
         clients.start(added, "GET", HOST, "/b/old", "key-old", 10);
         until(acknowledged + 7_100);
         store.write("config", "main", configuration(9, "\"key-kept\""));
